--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CFLAGS ?= -O2 -g
 WARNINGS := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
             -Wmissing-prototypes -Wpointer-arith
-ALL_CFLAGS := -std=gnu11 -D_GNU_SOURCE -Isrc -Itests/fuzz -Ibench $(WARNINGS) $(CFLAGS) \
+ALL_CFLAGS := -std=gnu11 -D_GNU_SOURCE -Isrc -I. -Itests/fuzz -Ibench $(WARNINGS) $(CFLAGS) \
               $(patsubst -I%,-isystem %,$(PKG_CFLAGS)) -MMD -MP
 ALL_LIBS := $(PKG_LIBS) -lm
 ifeq ($(SANITIZE),1)
@@ -33,7 +33,7 @@
 # rpcgen's output is committed; it is not held to the warnings.
 GENERATED := src/port/peer_xdr.c
 
-LIB_SRC := $(filter-out src/main.c,$(wildcard src/*/*.c))
+LIB_SRC := $(filter-out src/main.c,$(wildcard src/*/*.c platform/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libsavoryway.a
 
@@ -154,7 +154,7 @@
 LINT_SRC = $(filter %.c,$(SOURCES))
 .PHONY: lint
 lint:
-	@printf '%s\n' $(LINT_SRC) | xargs -P $$(nproc) -n 1 sh -c 'clang-tidy --quiet "$$0" -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests/fuzz -Ibench $(PKG_CFLAGS) 2>build/lint.$$$$.err || { cat build/lint.$$$$.err; exit 1; }'
+	@printf '%s\n' $(LINT_SRC) | xargs -P $$(nproc) -n 1 sh -c 'clang-tidy --quiet "$$0" -- -std=gnu11 -D_GNU_SOURCE -Isrc -I. -Itests/fuzz -Ibench $(PKG_CFLAGS) 2>build/lint.$$$$.err || { cat build/lint.$$$$.err; exit 1; }'
 
 # Three hosts and the stand-ins on loopback; prints what happens.
 .PHONY: demo
--- a/src/cli/cmd_man.c
+++ b/src/cli/cmd_man.c
@@ -10,7 +10,7 @@
       "savoryway \\- database proxy with session consistency\n"
       ".SH SYNOPSIS\n"
       ".B savoryway\n"
-      "run|status|config|drain|failover|topology|explain|query|hash "
+      "run|serve|check-settings|status|config|drain|failover|topology|explain|query|hash "
       "[FLAG...]\n"
       ".SH DESCRIPTION\n"
       "Each host runs\n"
@@ -65,7 +65,8 @@
       print_escaped ("--");
       print_escaped (setting->name);
     }
-  printf (" (%s%s%s)\n", setting->commands & SETTINGS_RUN ? "run" : "",
+  printf (" (%s%s%s%s)\n", setting->commands & SETTINGS_RUN ? "run" : "",
+          setting->commands & SETTINGS_SERVE ? ", serve" : "",
           setting->commands & SETTINGS_OPERATOR ? ", operators' commands" : "",
           setting->commands & SETTINGS_CALLER ? ", query" : "");
   print_escaped (help);
--- /dev/null
+++ b/src/cli/log_out.c
@@ -0,0 +1,71 @@
+#include "cli/log_out.h"
+
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "kernel/mem.h"
+
+struct log_out
+{
+  struct clk *clk;
+  size_t used;
+  uint64_t dropped;
+  char buffer[LOG_OUT_BYTES];
+};
+
+struct log_out *
+log_out_new (struct clk *clk)
+{
+  struct log_out *out = mem_zalloc (sizeof *out);
+  out->clk = clk;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  return out;
+}
+
+void
+log_out_free (struct log_out *out)
+{
+  if (out == NULL)
+    return;
+  log_out_flush (out);
+  free (out);
+}
+
+void
+log_out_line (void *arg, int priority, const char *line)
+{
+  struct log_out *out = arg;
+  size_t room = sizeof out->buffer - out->used;
+  int length = snprintf (out->buffer + out->used, room, "<%d>ms=%lld %s%s",
+                         priority, (long long)clk_now (out->clk), line,
+                         out->dropped > 0 ? " lines_dropped=" : "");
+  if (length < 0 || (size_t)length + 24 >= room)
+    {
+      out->dropped++;
+      return;
+    }
+  out->used += (size_t)length;
+  if (out->dropped > 0)
+    out->used += (size_t)sprintf (out->buffer + out->used, "%llu",
+                                  (unsigned long long)out->dropped);
+  out->dropped = 0;
+  out->buffer[out->used++] = '\n';
+}
+
+void
+log_out_flush (struct log_out *out)
+{
+  if (out->used == 0)
+    return;
+  ssize_t written = write (STDOUT_FILENO, out->buffer, out->used);
+  if (written <= 0)
+    return; /* tried again at the next turn */
+  out->used -= (size_t)written;
+  memmove (out->buffer, out->buffer + written, out->used);
+}
--- /dev/null
+++ b/src/cli/log_out.h
@@ -0,0 +1,25 @@
+/* log_out - log lines to standard output, never blocking.
+
+   Lines gather in a bounded buffer that is written once a turn of the loop.
+   While the reader takes nothing, further lines are dropped and counted.  */
+
+#ifndef SAVORYWAY_CLI_LOG_OUT_H
+#define SAVORYWAY_CLI_LOG_OUT_H
+
+#include "kernel/clock.h"
+
+#define LOG_OUT_BYTES ((size_t)64 * 1024)
+
+struct log_out;
+
+/* Lines are stamped with CLK.  */
+struct log_out *log_out_new (struct clk *clk);
+void log_out_free (struct log_out *out);
+
+/* A log_sink; ARG is a struct log_out.  */
+void log_out_line (void *arg, int priority, const char *line);
+
+/* Writes what has gathered, as far as the reader takes it.  */
+void log_out_flush (struct log_out *out);
+
+#endif
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -5,13 +5,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <event2/event.h>
 #include <sodium.h>
-#include <sys/resource.h>
 
 #include "cli/command.h"
+#include "cli/event_loop.h"
 #include "cli/http_caller.h"
 #include "cli/http_config.h"
 #include "cli/http_failover.h"
@@ -57,17 +56,6 @@
   int status;
 };
 
-static clk_ms
-monotonic_now (struct clk *clk)
-{
-  struct timespec now;
-  (void)clk;
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (clk_ms)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-}
-
-static const struct clk_ops monotonic_ops = { .now = monotonic_now };
-
 static void
 end_run (struct run *run, int status)
 {
@@ -117,14 +105,6 @@
     start_drain (run);
 }
 
-static void
-on_timer (evutil_socket_t fd, short what, void *arg)
-{
-  (void)fd;
-  (void)what;
-  (void)arg;
-}
-
 /* Whether nothing of a caller is left to do.  */
 static bool
 is_drained (const struct run *run)
@@ -135,48 +115,18 @@
          && http_server_unsent (run->operator_server) == 0;
 }
 
-/* Waits for events or the kernel's next due time, whichever is first.  */
-static void
-loop_once (struct run *run, struct kernel *kernel)
-{
-  int flags = EVLOOP_ONCE;
-  clk_ms due_ms = kernel_next_due (kernel);
-  clk_ms now_ms = clk_now (&run->clk);
-  if (due_ms <= now_ms)
-    flags = EVLOOP_NONBLOCK;
-  else if (due_ms != CLK_NEVER)
-    {
-      struct timeval span = { .tv_sec = (due_ms - now_ms) / 1000,
-                              .tv_usec = (due_ms - now_ms) % 1000 * 1000 };
-      evtimer_add (run->timer, &span);
-    }
-  event_base_loop (run->base, flags);
-  kernel_run_due (kernel);
-}
-
 static void
 loop (struct run *run)
 {
   struct kernel *kernel = node_kernel (run->node);
   while (!run->ended)
     {
-      loop_once (run, kernel);
+      event_loop_once (run->base, run->timer, kernel);
       if (is_drained (run))
         end_run (run, EXIT_OK);
     }
 }
 
-/* Lets the process have as many connections as its hard limit allows.  */
-static void
-raise_descriptor_limit (void)
-{
-  struct rlimit limit;
-  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
-    return;
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit (RLIMIT_NOFILE, &limit);
-}
-
 static bool
 open_events (struct run *run)
 {
@@ -184,7 +134,7 @@
   run->base = event_base_new ();
   if (run->base == NULL)
     return false;
-  run->timer = evtimer_new (run->base, on_timer, run);
+  run->timer = event_loop_timer (run->base);
   run->drain_limit = evtimer_new (run->base, drain_limit_reached, run);
   for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
     {
@@ -360,16 +310,15 @@
 int
 run_host (const struct settings *settings)
 {
-  struct run run = { .settings = settings,
-                     .clk.ops = &monotonic_ops,
-                     .status = EXIT_FAILED };
+  struct run run = { .settings = settings, .status = EXIT_FAILED };
+  event_loop_clock (&run.clk);
   rng_init_system (&run.rng);
   run.incarnation = settings->incarnation != 0
                         ? (uint64_t)settings->incarnation
                         : rng_u64 (&run.rng) >> 1;
   run.log = log_new (&run.clk, (int)settings->log_level,
                      (uint32_t)settings->log_rate_per_s, log_to_stderr, NULL);
-  raise_descriptor_limit ();
+  event_loop_raise_descriptors ();
   if (!open_events (&run) || !open_listeners (&run))
     goto out;
   open_ports (&run);
--- a/src/cli/settings.c
+++ b/src/cli/settings.c
@@ -73,6 +73,34 @@
   return errno == 0 && end != text && *end == '\0';
 }
 
+bool
+endpoint_parse (struct endpoint *endpoint, const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  int64_t port;
+  *endpoint = (struct endpoint){ 0 };
+  if (colon == NULL || (size_t)(colon - text) >= sizeof endpoint->address)
+    return false;
+  memcpy (endpoint->address, text, (size_t)(colon - text));
+  if (!is_address (endpoint->address) || !parse_number (colon + 1, &port)
+      || port < 1 || port > UINT16_MAX)
+    return false;
+  endpoint->port = (uint16_t)port;
+  return true;
+}
+
+static void
+read_endpoint (const struct reading *reading)
+{
+  struct endpoint endpoint;
+  if (endpoint_parse (&endpoint, reading->text))
+    *(char **)field_of (reading) = mem_strdup (reading->text);
+  else
+    findings_add (reading->findings, reading->place,
+                  "\"%s\" is not ADDRESS:PORT with an IP number",
+                  reading->text);
+}
+
 static void
 read_text (const struct reading *reading)
 {
@@ -208,6 +236,9 @@
     case SETTING_HASH:
       read_text (reading);
       break;
+    case SETTING_ENDPOINT:
+      read_endpoint (reading);
+      break;
     case SETTING_NUMBER:
       read_number (reading);
       break;
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -26,6 +26,7 @@
   SETTING_NAME,    /* letters, digits, '.', '_' and '-' */
   SETTING_TEXT,    /* any text, such as the path of a file */
   SETTING_ADDRESS, /* IP number */
+  SETTING_ENDPOINT, /* IP number and port, ADDRESS:PORT */
   SETTING_HASH,    /* secret_hash of the configuration */
   SETTING_NUMBER,
   SETTING_CHOICE, /* one of some words */
@@ -38,7 +39,8 @@
 {
   SETTINGS_RUN = 1,
   SETTINGS_OPERATOR = 2, /* commands that ask an operators' listener */
-  SETTINGS_CALLER = 4    /* commands that ask a callers' listener */
+  SETTINGS_CALLER = 4,   /* commands that ask a callers' listener */
+  SETTINGS_SERVE = 8     /* the host on the users' platform */
 };
 
 struct setting
@@ -55,6 +57,13 @@
   const char *help;
 };
 
+/* An IP number and a port.  */
+struct endpoint
+{
+  char address[ADDRESS_BYTES];
+  uint16_t port;
+};
+
 /* Values of all settings.  */
 struct settings
 {
@@ -88,8 +97,17 @@
   int64_t caller_idle_ms;
   int64_t body_limit_bytes;
   int64_t header_limit_bytes;
+  char *caller_endpoint;
+  char *ready_endpoint;
+  char *metrics_endpoint;
+  char *store_endpoint;
+  char *promote_endpoint;
+  int64_t shutdown_limit_s;
 };
 
+/* Splits TEXT, an ADDRESS:PORT; returns false if it is none.  */
+bool endpoint_parse (struct endpoint *endpoint, const char *text);
+
 /* Where values come from.  */
 struct settings_source
 {
--- a/src/cli/settings_argp.c
+++ b/src/cli/settings_argp.c
@@ -27,6 +27,8 @@
     {
     case SETTING_ADDRESS:
       return "ADDRESS";
+    case SETTING_ENDPOINT:
+      return "ADDRESS:PORT";
     case SETTING_NUMBER:
       return "N";
     case SETTING_CHOICE:
--- a/src/core/promotion_record.c
+++ b/src/core/promotion_record.c
@@ -112,6 +112,7 @@
       platform_failed (guard);
       break;
     case PLATFORM_REJECTED:
+    case PLATFORM_COMPACTED:
       promotion_stop (guard, "rejected by the platform");
       break;
     }
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -13,6 +13,9 @@
 
 #define CLK_NEVER INT64_MAX
 
+/* A point before all others, from which spans can be taken.  */
+#define CLK_LONG_AGO (INT64_MIN / 4)
+
 struct clk;
 
 struct clk_ops
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,9 @@
   const char *help; /* NULL: not listed */
 } commands[] = {
   { "run", cmd_run_main, "run a host" },
+  { "serve", cmd_serve_main, "run a host on the users' platform" },
+  { "check-settings", cmd_check_settings_main,
+    "check the settings of serve, and run nothing" },
   { "status", cmd_status_main, "show the state of a host" },
   { "drain", cmd_drain_main, "begin the graceful shutdown of a host" },
   { "failover", cmd_failover_main,
@@ -68,7 +71,7 @@
   for (size_t i = 0; i < COMMAND_COUNT; i++)
     if (commands[i].help != NULL)
       {
-        char *longer = mem_printf ("%s  %-10s %s\n", text, commands[i].name,
+        char *longer = mem_printf ("%s  %-14s %s\n", text, commands[i].name,
                                    commands[i].help);
         free (text);
         text = longer;
--- a/src/port/address.c
+++ b/src/port/address.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 bool
 address_parse (const char *text, uint16_t port,
@@ -30,6 +32,26 @@
   return true;
 }
 
+static void
+set_option (evutil_socket_t fd, int level, int name, int value)
+{
+  /* A kernel without the option still serves, only slower to notice.  */
+  (void)setsockopt (fd, level, name, &value, sizeof value);
+}
+
+void
+address_set_keepalive (evutil_socket_t fd)
+{
+  if (fd < 0)
+    return;
+  set_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, ADDRESS_KEEPALIVE_IDLE_S);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, ADDRESS_KEEPALIVE_IDLE_S);
+  set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, ADDRESS_KEEPALIVE_PROBES);
+  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, ADDRESS_UNANSWERED_MS);
+  set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
 uint16_t
 address_bound_port (evutil_socket_t fd)
 {
--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -10,6 +10,7 @@
 #include <uthash.h>
 
 #include "kernel/mem.h"
+#include "port/address.h"
 #include "port/consul_codec.h"
 
 /* Calls that may wait for a connection or for the rate limit.  */
@@ -34,7 +35,7 @@
   struct consul *consul;
   uint64_t id;
   enum platform_call_kind kind;
-  struct consul_request request;
+  struct kv_request request;
   bool unsendable;
   platform_done done;
   void *arg;
@@ -50,6 +51,7 @@
 {
   struct platform_port base;
   struct event_base *events;
+  const struct kv_codec *codec;
   char *address;
   uint16_t port;
   char *token;
@@ -69,11 +71,18 @@
   uint64_t next_id;
 };
 
+static const enum evhttp_cmd_type verbs[] = {
+  [KV_GET] = EVHTTP_REQ_GET,
+  [KV_PUT] = EVHTTP_REQ_PUT,
+  [KV_POST] = EVHTTP_REQ_POST,
+  [KV_DELETE] = EVHTTP_REQ_DELETE,
+};
+
 static const char *const kind_names[] = {
   [PLATFORM_GET] = "get",         [PLATFORM_LIST] = "list",
   [PLATFORM_WRITE] = "write",     [PLATFORM_HOSTS] = "hosts",
   [PLATFORM_LEASE] = "lease",     [PLATFORM_RENEW] = "renew",
-  [PLATFORM_RELEASE] = "release",
+  [PLATFORM_RELEASE] = "release", [PLATFORM_WATCH] = "watch",
 };
 
 static const char *const status_names[] = {
@@ -83,6 +92,7 @@
   [PLATFORM_UNAVAILABLE] = "unavailable",
   [PLATFORM_LOST] = "lost",
   [PLATFORM_REJECTED] = "rejected",
+  [PLATFORM_COMPACTED] = "compacted",
 };
 
 /* Counts in platform_FAMILY_total{purpose, LABEL=VALUE}.  */
@@ -129,7 +139,7 @@
   if (call->conn != NULL)
     call->conn->call = NULL;
   event_free (call->timer);
-  consul_request_clear (&call->request);
+  kv_request_clear (&call->request);
   free (call->purpose);
   free (call);
   if (self->queue_head != NULL)
@@ -173,7 +183,7 @@
   if (call->unsendable)
     status = PLATFORM_REJECTED;
   else if (call->conn != NULL && call->conn->sent)
-    status = consul_lost_status (call->kind);
+    status = kv_lost_status (call->kind);
   abandon (call);
   finish_status (call, status);
 }
@@ -191,7 +201,7 @@
   int code = http != NULL ? evhttp_request_get_response_code (http) : 0;
   if (http == NULL)
     {
-      finish_status (call, consul_lost_status (call->kind));
+      finish_status (call, kv_lost_status (call->kind));
       return;
     }
   if (code == 0)
@@ -199,15 +209,15 @@
       finish_status (call, PLATFORM_UNAVAILABLE);
       return;
     }
-  struct consul_answer answer;
+  struct kv_answer answer;
   struct evbuffer *body = evhttp_request_get_input_buffer (http);
   struct evkeyvalq *headers = evhttp_request_get_input_headers (http);
-  consul_answer_parse (&answer, call->kind, code,
+  conn->consul->codec->parse (&answer, call->kind, code,
                        evhttp_find_header (headers, "X-Consul-Index"),
                        (const char *)evbuffer_pullup (body, -1),
                        evbuffer_get_length (body));
   finish (call, &answer.reply);
-  consul_answer_clear (&answer);
+  kv_answer_clear (&answer);
 }
 
 static void
@@ -259,17 +269,23 @@
   if (self->token != NULL)
     evhttp_add_header (headers, "X-Consul-Token", self->token);
   if (call->request.body != NULL)
-    evbuffer_add (body, call->request.body, strlen (call->request.body));
+    {
+      evhttp_add_header (headers, "Content-Type", "application/json");
+      evbuffer_add (body, call->request.body, strlen (call->request.body));
+    }
   count (self, call, "calls", "kind", kind_names[call->kind]);
   call->conn = conn;
   call->http = http;
   conn->call = call;
   conn->sent = false;
   uint64_t id = call->id;
-  enum evhttp_cmd_type type
-      = call->request.put ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
+  enum evhttp_cmd_type type = verbs[call->request.verb];
   if (evhttp_make_request (conn->http, http, type, call->request.uri) == 0)
-    return;
+    {
+      address_set_keepalive (bufferevent_getfd (
+          evhttp_connection_get_bufferevent (conn->http)));
+      return;
+    }
   HASH_FIND (hh, self->calls, &id, sizeof id, call);
   if (call == NULL)
     return;
@@ -281,7 +297,7 @@
 monotonic_s (void)
 {
   struct timespec now;
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
 }
 
@@ -335,7 +351,7 @@
   queued->done = done;
   queued->arg = arg;
   queued->purpose = mem_strdup (call->purpose ? call->purpose : "other");
-  queued->unsendable = !consul_request_build (&queued->request, call);
+  queued->unsendable = !self->codec->build (&queued->request, call);
   queued->timer = evtimer_new (self->events, on_timeout, queued);
   HASH_ADD (hh, self->calls, id, sizeof queued->id, queued);
   clk_ms limit_ms
@@ -378,6 +394,7 @@
   struct consul *self = mem_zalloc (sizeof *self);
   self->base.ops = &consul_ops;
   self->events = base;
+  self->codec = options->codec != NULL ? options->codec : &consul_codec;
   self->address = mem_strdup (options->address);
   self->port = options->port;
   self->token = mem_strdup (options->token);
--- a/src/port/consul.h
+++ b/src/port/consul.h
@@ -12,6 +12,7 @@
 #include <event2/event.h>
 
 #include "kernel/metrics.h"
+#include "port/kv_codec.h"
 #include "port/platform_port.h"
 
 #define CONSUL_CALLS_PER_S 50
@@ -26,6 +27,7 @@
   uint32_t calls_per_s;     /* calls beyond wait; bursts up to twice that */
   uint32_t max_connections; /* calls at a time, waiting ones included */
   struct metrics *metrics;  /* counts calls by purpose; may be NULL */
+  const struct kv_codec *codec; /* of another service's API; NULL: Consul's */
 };
 
 /* Returns a port on BASE, which outlives it.  */
--- a/src/port/consul_answer.c
+++ b/src/port/consul_answer.c
@@ -1,7 +1,6 @@
 #include "port/consul_codec.h"
 
 #include <jansson.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,26 +15,6 @@
 #define HTTP_SERVER_ERROR_CODE 500
 #define HTTP_UNAVAILABLE_CODE 503
 
-enum platform_status
-consul_lost_status (enum platform_call_kind kind)
-{
-  return consul_call_writes (kind) ? PLATFORM_LOST : PLATFORM_UNAVAILABLE;
-}
-
-static bool
-decode_value (struct platform_item *item, const char *text)
-{
-  size_t length = strlen (text);
-  item->value = mem_zalloc (length + 1);
-  if (sodium_base642bin ((unsigned char *)item->value, length, text, length,
-                         NULL, &item->value_bytes, NULL,
-                         sodium_base64_VARIANT_ORIGINAL)
-      != 0)
-    return false;
-  item->value[item->value_bytes] = '\0';
-  return true;
-}
-
 static bool
 parse_item (struct platform_item *item, json_t *entry)
 {
@@ -48,11 +27,11 @@
   const char *value = json_string_value (json_object_get (entry, "Value"));
   item->key = mem_strdup (key);
   item->index = (uint64_t)index;
-  return decode_value (item, value != NULL ? value : "");
+  return kv_decode_value (item, value != NULL ? value : "");
 }
 
 static bool
-parse_items (struct consul_answer *answer, json_t *array, const char *wrapper)
+parse_items (struct kv_answer *answer, json_t *array, const char *wrapper)
 {
   size_t count = json_array_size (array);
   answer->items = mem_zalloc ((count + 1) * sizeof *answer->items);
@@ -70,7 +49,7 @@
 }
 
 static bool
-parse_written (struct consul_answer *answer, json_t *body)
+parse_written (struct kv_answer *answer, json_t *body)
 {
   json_t *results = json_object_get (body, "Results");
   if (!json_is_array (results) && !json_is_null (results))
@@ -113,7 +92,7 @@
 /* One faulty registration must not hide the other hosts, so it is left
    out.  */
 static bool
-parse_hosts (struct consul_answer *answer, json_t *array)
+parse_hosts (struct kv_answer *answer, json_t *array)
 {
   size_t count = json_array_size (array);
   size_t used = 0;
@@ -129,7 +108,7 @@
 }
 
 static bool
-parse_lease (struct consul_answer *answer, json_t *body)
+parse_lease (struct kv_answer *answer, json_t *body)
 {
   const char *id = json_string_value (json_object_get (body, "ID"));
   if (id == NULL || id[0] == '\0')
@@ -140,7 +119,7 @@
 }
 
 static bool
-parse_body (struct consul_answer *answer, enum platform_call_kind kind,
+parse_body (struct kv_answer *answer, enum platform_call_kind kind,
             json_t *body)
 {
   switch (kind)
@@ -173,17 +152,17 @@
   if (code == HTTP_TOO_MANY_CODE || code == HTTP_UNAVAILABLE_CODE)
     return PLATFORM_UNAVAILABLE;
   if (code >= HTTP_SERVER_ERROR_CODE)
-    return consul_lost_status (kind);
+    return kv_lost_status (kind);
   return code > HTTP_OK_CODE + 99 ? PLATFORM_REJECTED
-                                  : consul_lost_status (kind);
+                                  : kv_lost_status (kind);
 }
 
 void
-consul_answer_parse (struct consul_answer *answer,
+consul_answer_parse (struct kv_answer *answer,
                      enum platform_call_kind kind, int code, const char *index,
                      const char *body, size_t length)
 {
-  *answer = (struct consul_answer){ 0 };
+  *answer = (struct kv_answer){ 0 };
   if (index != NULL)
     answer->reply.index = strtoull (index, NULL, 10);
   if (code != HTTP_OK_CODE)
@@ -198,21 +177,6 @@
   json_decref (json);
   if (understood)
     return;
-  consul_answer_clear (answer);
-  answer->reply.status = consul_lost_status (kind);
-}
-
-void
-consul_answer_clear (struct consul_answer *answer)
-{
-  for (size_t i = 0; answer->items != NULL && i < answer->reply.item_count;
-       i++)
-    {
-      free (answer->items[i].key);
-      free (answer->items[i].value);
-    }
-  free (answer->items);
-  free (answer->hosts);
-  free (answer->lease);
-  *answer = (struct consul_answer){ 0 };
+  kv_answer_clear (answer);
+  answer->reply.status = kv_lost_status (kind);
 }
--- a/src/port/consul_request.c
+++ b/src/port/consul_request.c
@@ -1,7 +1,6 @@
 #include "port/consul_codec.h"
 
 #include <jansson.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,36 +9,6 @@
 
 #define KEY_LIMIT_BYTES 512
 
-bool
-consul_call_writes (enum platform_call_kind kind)
-{
-  switch (kind)
-    {
-    case PLATFORM_GET:
-    case PLATFORM_LIST:
-    case PLATFORM_HOSTS:
-      return false;
-    default:
-      return true;
-    }
-}
-
-/* Returns TEXT with all but the usual characters of keys percent-encoded.  */
-static char *
-encode (const char *text)
-{
-  static const char plain[] = "abcdefghijklmnopqrstuvwxyz"
-                              "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./~";
-  char *out = mem_zalloc (3 * strlen (text) + 1);
-  char *end = out;
-  for (; *text != '\0'; text++)
-    if (strchr (plain, *text) != NULL)
-      *end++ = *text;
-    else
-      end += sprintf (end, "%%%02X", (unsigned char)*text);
-  return out;
-}
-
 /* A read that resolves a lost answer must see all earlier writes, so reads
    that don't wait ask for consistency.  */
 static char *
@@ -56,7 +25,7 @@
 static char *
 key_uri (const struct platform_call *call)
 {
-  char *key = encode (call->key);
+  char *key = kv_encode (call->key);
   char *path = mem_printf ("/v1/kv/%s", key);
   char *uri = read_uri (path, call,
                         call->kind == PLATFORM_LIST ? "&recurse=true" : "");
@@ -75,11 +44,7 @@
 static void
 set_value (json_t *op, const struct platform_write *write)
 {
-  size_t size = sodium_base64_ENCODED_LEN (write->value_bytes,
-                                           sodium_base64_VARIANT_ORIGINAL);
-  char *text = mem_zalloc (size);
-  sodium_bin2base64 (text, size, (const unsigned char *)write->value,
-                     write->value_bytes, sodium_base64_VARIANT_ORIGINAL);
+  char *text = kv_base64 (write->value, write->value_bytes);
   json_t *fields = json_object_get (op, "KV");
   json_object_set_new (fields, "Value", json_string (text));
   if (write->lease != NULL)
@@ -113,7 +78,7 @@
 }
 
 static bool
-build_write (struct consul_request *request, const struct platform_call *call)
+build_write (struct kv_request *request, const struct platform_call *call)
 {
   if (call->write_count == 0)
     return false;
@@ -131,7 +96,7 @@
 }
 
 static bool
-build_lease (struct consul_request *request, const struct platform_call *call)
+build_lease (struct kv_request *request, const struct platform_call *call)
 {
   if (call->kind == PLATFORM_LEASE)
     {
@@ -143,7 +108,7 @@
     }
   if (call->lease == NULL)
     return false;
-  char *id = encode (call->lease);
+  char *id = kv_encode (call->lease);
   request->uri
       = mem_printf ("/v1/session/%s/%s",
                     call->kind == PLATFORM_RENEW ? "renew" : "destroy", id);
@@ -152,10 +117,11 @@
 }
 
 bool
-consul_request_build (struct consul_request *request,
+consul_request_build (struct kv_request *request,
                       const struct platform_call *call)
 {
-  *request = (struct consul_request){ .put = consul_call_writes (call->kind) };
+  *request = (struct kv_request){ .verb
+      = kv_call_writes (call->kind) ? KV_PUT : KV_GET };
   switch (call->kind)
     {
     case PLATFORM_GET:
@@ -173,10 +139,5 @@
     }
 }
 
-void
-consul_request_clear (struct consul_request *request)
-{
-  free (request->uri);
-  free (request->body);
-  *request = (struct consul_request){ 0 };
-}
+const struct kv_codec consul_codec
+    = { .build = consul_request_build, .parse = consul_answer_parse };
--- a/src/port/pg_conn.c
+++ b/src/port/pg_conn.c
@@ -29,7 +29,7 @@
 pg_now (void)
 {
   struct timespec now;
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return (clk_ms)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -22,7 +22,8 @@
   PLATFORM_HOSTS,  /* the list of hosts; waits likewise */
   PLATFORM_LEASE,  /* creates a lease of ttl_ms */
   PLATFORM_RENEW,  /* extends lease */
-  PLATFORM_RELEASE /* ends lease */
+  PLATFORM_RELEASE, /* ends lease */
+  PLATFORM_WATCH    /* changes below a prefix after wait_index */
 };
 
 struct platform_write
@@ -40,6 +41,7 @@
   enum platform_call_kind kind;
   const char *purpose;
   const char *key;     /* key or prefix */
+  const char *after;   /* PLATFORM_LIST: continues after this key */
   uint64_t wait_index; /* return once the index is above this */
   clk_ms wait_ms;      /* at most this long; 0 returns at once */
   clk_ms timeout_ms;   /* for an answer, beyond wait_ms */
@@ -56,7 +58,8 @@
   PLATFORM_NOT_FOUND,   /* no such key or lease */
   PLATFORM_UNAVAILABLE, /* certainly without effect */
   PLATFORM_LOST,        /* may have taken effect */
-  PLATFORM_REJECTED     /* malformed or too large; without effect */
+  PLATFORM_REJECTED,    /* malformed or too large; without effect */
+  PLATFORM_COMPACTED    /* PLATFORM_WATCH: that history is forgotten */
 };
 
 struct platform_item
@@ -64,7 +67,9 @@
   char *key;
   char *value; /* NUL-terminated besides value_bytes */
   size_t value_bytes;
-  uint64_t index; /* of its last modification */
+  uint64_t index;   /* of its last modification */
+  uint64_t created; /* index of its creation; 0 if not told */
+  bool removed;     /* PLATFORM_WATCH: the key is gone, without value */
 };
 
 struct platform_host
@@ -86,6 +91,7 @@
   const struct platform_host *hosts;
   size_t host_count;
   const char *lease;
+  bool more; /* PLATFORM_LIST: further items follow the last one */
 };
 
 typedef void (*platform_done) (void *arg, const struct platform_reply *reply);
--- /dev/null
+++ b/src/proxy/caller.c
@@ -0,0 +1,372 @@
+#include "proxy/caller.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "kernel/mem.h"
+#include "kernel/text.h"
+#include "proxy/caller_impl.h"
+
+static void
+run_clear (struct run_request *run)
+{
+  free (run->id);
+  free (run->text);
+  free (run->name);
+  free (run->rest);
+  *run = (struct run_request){ .stage = RUN_NONE };
+}
+
+static void
+arm_idle (struct caller *caller)
+{
+  const struct catalog_config *config
+      = catalog_config (caller->callers->catalog);
+  struct kernel *kernel = caller->callers->base.kernel;
+  if (caller->tx == TX_OPEN && config->tx_idle_ms > 0)
+    kernel_timer_set (kernel, &caller->idle,
+                      kernel_now (kernel) + config->tx_idle_ms);
+  else
+    kernel_timer_cancel (kernel, &caller->idle);
+}
+
+static void
+log_answer (struct caller *caller, const struct answer *answer)
+{
+  const struct run_request *run = &caller->run;
+  struct kernel *kernel = caller->callers->base.kernel;
+  bool ok = answer->code == CODE_OK;
+  if (ok && run->attempts <= 1)
+    return; /* plain successes are summed by the metrics */
+  log_event (kernel_log (kernel), LOG_INFO, "answer",
+             LOG_S ("id", run->id), LOG_S ("database", caller->database),
+             LOG_S ("code", code_name (answer->code)),
+             LOG_S ("why", answer->text), LOG_U ("attempts", run->attempts),
+             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms),
+             LOG_U ("writes", run->writes), LOG_U ("tx", caller->tx));
+}
+
+void
+caller_finish (struct caller *caller, const struct answer *answer)
+{
+  struct kernel *kernel = caller->callers->base.kernel;
+  struct answer out = *answer;
+  out.state = caller->tx;
+  log_answer (caller, answer);
+  char name[64] = "statements_total{code=\"";
+  strncat (name, code_name (answer->code), 20);
+  strcat (name, "\"}");
+  metrics_count (kernel_metrics (kernel), name);
+  kernel_timer_cancel (kernel, &caller->deadline);
+  kernel_timer_cancel (kernel, &caller->again);
+  kernel_timer_cancel (kernel, &caller->slow);
+  group_cancel (&caller->waiter);
+  run_clear (&caller->run);
+  arm_idle (caller);
+  caller->sink.answer (caller->sink.arg, &out);
+}
+
+void
+caller_finish_code (struct caller *caller, enum code code, const char *text)
+{
+  caller_finish (caller, &(struct answer){ .code = code, .text = text });
+}
+
+static struct prepared *
+find_prepared (struct caller *caller, const char *name)
+{
+  for (size_t i = 0; i < caller->prepared_count; i++)
+    if (strcmp (caller->prepared[i].name, name) == 0)
+      return &caller->prepared[i];
+  return NULL;
+}
+
+static enum code
+do_prepare (struct caller *caller, const struct statement *statement)
+{
+  struct prepared *prepared = find_prepared (caller, statement->name);
+  if (strlen (statement->rest) >= VALUE_NAME_BYTES)
+    return CODE_TOOLARGE;
+  if (prepared == NULL)
+    {
+      if (caller->prepared_count == CALLER_PREPARED_LIMIT)
+        return CODE_TOOLARGE;
+      caller->prepared = mem_resize (caller->prepared,
+                                     (caller->prepared_count + 1)
+                                         * sizeof *caller->prepared);
+      prepared = &caller->prepared[caller->prepared_count++];
+      *prepared = (struct prepared){ .name = mem_strdup (statement->name) };
+    }
+  free (prepared->shape);
+  prepared->shape = mem_strdup (statement->rest);
+  prepared->kind = statement->kind;
+  return CODE_OK;
+}
+
+static void
+do_deallocate (struct caller *caller, const char *name)
+{
+  struct prepared *prepared = find_prepared (caller, name);
+  if (prepared == NULL)
+    return;
+  free (prepared->name);
+  free (prepared->shape);
+  *prepared = caller->prepared[--caller->prepared_count];
+}
+
+static enum code
+do_set (struct caller *caller, const struct statement *statement)
+{
+  if (!values_set (&caller->values, statement->name, statement->rest))
+    return CODE_TOOLARGE;
+  if (caller->conn != NULL)
+    conn_set_value (caller->conn, &caller->values, statement->name,
+                    statement->rest);
+  return CODE_OK;
+}
+
+static void
+end_transaction (struct caller *caller)
+{
+  caller_run_stop (caller);
+  caller->tx = TX_IDLE;
+}
+
+static void
+do_begin (struct caller *caller, bool read_only)
+{
+  const struct route *route
+      = catalog_route (caller->callers->catalog, caller->database);
+  if (caller->tx == TX_OPEN)
+    {
+      caller->tx = TX_FAILED;
+      caller_run_stop (caller);
+      caller_finish_code (caller, CODE_MALFORMED, "in a transaction already");
+      return;
+    }
+  if (route == NULL)
+    {
+      caller_finish_code (caller, CODE_NODB, caller->database);
+      return;
+    }
+  caller->tx = TX_OPEN;
+  caller->tx_route = *route;
+  caller->tx_read_only = read_only;
+  caller->tx_ran = false;
+  caller->tx_wrote = false;
+  caller->tx_untold = false;
+  caller->tx_begun_ms = caller->run.arrived_ms;
+  caller_finish_code (caller, CODE_OK, NULL);
+}
+
+/* Answers a statement in a transaction that has failed.  */
+static void
+submit_failed (struct caller *caller, enum stmt_kind kind)
+{
+  if (kind == STMT_ROLLBACK)
+    {
+      end_transaction (caller);
+      caller_finish_code (caller, CODE_OK, NULL);
+    }
+  else if (kind == STMT_COMMIT)
+    {
+      end_transaction (caller);
+      caller_finish_code (caller, CODE_ABORTED, "the transaction failed");
+    }
+  else if (caller->tx_untold)
+    {
+      caller->tx_untold = false;
+      caller_finish_code (caller, CODE_ABORTED, "the transaction was ended");
+    }
+  else
+    caller_finish_code (caller, CODE_MALFORMED, "the transaction failed");
+}
+
+static void
+take_statement (struct caller *caller, const struct statement *statement)
+{
+  struct run_request *run = &caller->run;
+  run_clear (run);
+  run->kind = statement->kind;
+  run->id = mem_strdup (statement->id);
+  run->arrived_ms = caller_now (caller);
+  run->held_since_ms = CLK_NEVER;
+}
+
+static void
+submit_run (struct caller *caller, const struct statement *statement)
+{
+  struct run_request *run = &caller->run;
+  const struct prepared *prepared = NULL;
+  if (statement->kind == STMT_EXECUTE)
+    {
+      prepared = find_prepared (caller, statement->name);
+      if (prepared == NULL)
+        {
+          if (caller->tx == TX_OPEN)
+            caller->tx = TX_FAILED;
+          caller_finish_code (caller, CODE_NOSTMT, statement->name);
+          return;
+        }
+      run->prepared_kind = prepared->kind;
+      run->shape = prepared->shape;
+    }
+  run->writes = statement->kind == STMT_WRITE
+                || (prepared != NULL && prepared->kind == STMT_PREPARE_WRITE);
+  run->text = mem_strdup (statement->text);
+  run->name = mem_strdup (statement->name);
+  run->rest = mem_strdup (statement->rest);
+  caller_run_start (caller);
+}
+
+void
+caller_submit (struct caller *caller, const struct statement *statement)
+{
+  kernel_timer_cancel (caller->callers->base.kernel, &caller->idle);
+  take_statement (caller, statement);
+  if (caller->tx == TX_FAILED)
+    {
+      submit_failed (caller, statement->kind);
+      return;
+    }
+  switch (statement->kind)
+    {
+    case STMT_BEGIN:
+    case STMT_BEGIN_READ:
+      do_begin (caller, statement->kind == STMT_BEGIN_READ);
+      return;
+    case STMT_ROLLBACK:
+      end_transaction (caller);
+      caller_finish_code (caller, CODE_OK, NULL);
+      return;
+    case STMT_SET:
+      caller_finish_code (caller, do_set (caller, statement), NULL);
+      return;
+    case STMT_PREPARE_READ:
+    case STMT_PREPARE_WRITE:
+      caller_finish_code (caller, do_prepare (caller, statement), NULL);
+      return;
+    case STMT_DEALLOCATE:
+      do_deallocate (caller, statement->name);
+      caller_finish_code (caller, CODE_OK, NULL);
+      return;
+    case STMT_COMMIT:
+      if (caller->tx != TX_OPEN)
+        {
+          caller_finish_code (caller, CODE_MALFORMED, "no transaction");
+          return;
+        }
+      submit_run (caller, statement);
+      return;
+    case STMT_READ:
+    case STMT_WRITE:
+    case STMT_EXECUTE:
+      submit_run (caller, statement);
+      return;
+    default:
+      if (caller->tx == TX_OPEN)
+        caller->tx = TX_FAILED;
+      caller_finish_code (caller, CODE_MALFORMED, "unknown statement");
+    }
+}
+
+/* Ends a transaction that has been idle for too long; the caller is told at
+   its next statement.  */
+static void
+idle_reached (void *arg)
+{
+  struct caller *caller = arg;
+  if (caller->tx != TX_OPEN || caller->run.stage != RUN_NONE)
+    return;
+  log_event (kernel_log (caller->callers->base.kernel), LOG_INFO, "tx_idle",
+             LOG_S ("database", caller->database));
+  caller_run_stop (caller);
+  caller->tx = TX_FAILED;
+  caller->tx_untold = true;
+}
+
+struct caller *
+caller_open (struct callers *callers, const char *database,
+             const struct caller_sink *sink)
+{
+  if (catalog_route (callers->catalog, database) == NULL)
+    return NULL;
+  struct caller *caller = mem_zalloc (sizeof *caller);
+  caller->callers = callers;
+  caller->sink = *sink;
+  text_copy (caller->database, sizeof caller->database, database);
+  caller->opened_ms = kernel_now (callers->base.kernel);
+  caller->idle.fire = idle_reached;
+  caller->idle.arg = caller;
+  caller_run_init (caller);
+  DL_APPEND (callers->list, caller);
+  callers->count++;
+  return caller;
+}
+
+void
+caller_close (struct caller *caller)
+{
+  struct callers *callers = caller->callers;
+  struct kernel *kernel = callers->base.kernel;
+  caller_run_stop (caller);
+  kernel_timer_cancel (kernel, &caller->idle);
+  run_clear (&caller->run);
+  values_clear (&caller->values);
+  while (caller->prepared_count > 0)
+    do_deallocate (caller, caller->prepared[0].name);
+  free (caller->prepared);
+  DL_DELETE (callers->list, caller);
+  callers->count--;
+  free (caller);
+}
+
+bool
+caller_busy (const struct caller *caller)
+{
+  return caller->run.stage != RUN_NONE || caller->tx != TX_IDLE;
+}
+
+size_t
+callers_count (const struct callers *callers)
+{
+  return callers->count;
+}
+
+static void
+callers_start (struct module *module)
+{
+  struct callers *callers = (struct callers *)module;
+  callers->catalog
+      = (struct catalog *)kernel_find (module->kernel, "catalog");
+  callers->groups = (struct groups *)kernel_find (module->kernel, "groups");
+}
+
+static void
+callers_free (struct module *module)
+{
+  struct callers *callers = (struct callers *)module;
+  while (callers->list != NULL)
+    caller_close (callers->list);
+  free (callers);
+}
+
+static const struct module_ops callers_ops
+    = { .start = callers_start, .free = callers_free };
+
+struct callers *
+callers_new (void)
+{
+  struct callers *callers = mem_zalloc (sizeof *callers);
+  callers->base.ops = &callers_ops;
+  callers->base.name = "callers";
+  return callers;
+}
+
+struct module *
+callers_module (struct callers *callers)
+{
+  return &callers->base;
+}
--- /dev/null
+++ b/src/proxy/caller_run.c
@@ -0,0 +1,622 @@
+/* Runs one statement of a session on an instance, and tries again elsewhere
+   what certainly did not run or may be repeated.  */
+
+#include "proxy/caller_impl.h"
+
+#include <string.h>
+
+#include "kernel/text.h"
+
+static void dispatch (struct caller *caller);
+static void run_on (struct caller *caller, struct backend_conn *conn);
+
+static struct caller *
+caller_of (struct conn_user *user)
+{
+  return (struct caller *)(void *)((char *)user
+                                   - offsetof (struct caller, user));
+}
+
+static struct kernel *
+kernel_of (const struct caller *caller)
+{
+  return caller->callers->base.kernel;
+}
+
+static struct group *
+group_of (struct caller *caller)
+{
+  return groups_find (caller->callers->groups, caller->run.route.group);
+}
+
+static bool
+in_transaction (const struct caller *caller)
+{
+  return caller->tx == TX_OPEN;
+}
+
+/* Whether the statement must run on the primary.  A transaction that may
+   write can't be moved there later.  */
+static bool
+needs_leader (const struct caller *caller)
+{
+  const struct run_request *run = &caller->run;
+  if (run->writes || run->route.kind == ROUTE_PRIMARY)
+    return true;
+  return in_transaction (caller) && !caller->tx_read_only;
+}
+
+/* Whether the statement alone can be run again after it may have run.  */
+static bool
+is_repeatable (const struct caller *caller)
+{
+  return !in_transaction (caller) && !caller->run.writes;
+}
+
+static void
+drop_conn (struct caller *caller, bool discard)
+{
+  struct backend_conn *conn = caller->conn;
+  caller->conn = NULL;
+  if (conn == NULL)
+    return;
+  if (discard)
+    conn_discard (conn);
+  else
+    conn_give (conn);
+}
+
+static void
+set_timer (struct caller *caller, struct ktimer *timer, clk_ms span_ms)
+{
+  struct kernel *kernel = kernel_of (caller);
+  kernel_timer_set (kernel, timer, kernel_now (kernel) + span_ms);
+}
+
+void
+caller_run_stop (struct caller *caller)
+{
+  struct kernel *kernel = kernel_of (caller);
+  backend_cancel (&caller->user);
+  group_cancel (&caller->waiter);
+  kernel_timer_cancel (kernel, &caller->again);
+  kernel_timer_cancel (kernel, &caller->deadline);
+  kernel_timer_cancel (kernel, &caller->slow);
+  drop_conn (caller, false);
+}
+
+/* Ends the statement with CODE; a transaction that it belongs to is ended on
+   its instance first.  */
+static void
+fail (struct caller *caller, enum code code, const char *why)
+{
+  bool commit = caller->run.kind == STMT_COMMIT;
+  backend_cancel (&caller->user);
+  drop_conn (caller, false);
+  if (in_transaction (caller))
+    caller->tx = commit ? TX_IDLE : TX_FAILED;
+  caller_finish_code (caller, code, why);
+}
+
+/* The code for a statement that did not run and will not.  */
+static enum code
+refusal_code (const struct caller *caller)
+{
+  enum code code = caller->run.refusal;
+  if (in_transaction (caller) && caller->tx_ran)
+    return CODE_ABORTED;
+  return code_not_run (code) && code != CODE_NOSTMT ? code : CODE_BUSY;
+}
+
+/* Ends the statement whose outcome on the instance is not known.  */
+static void
+fail_unknown (struct caller *caller, enum code code, const char *why)
+{
+  const struct run_request *run = &caller->run;
+  /* Without COMMIT, or without a write, nothing can be kept.  */
+  if (in_transaction (caller)
+      && (run->kind != STMT_COMMIT || !caller->tx_wrote))
+    code = CODE_ABORTED;
+  else if (!run->writes && run->kind != STMT_COMMIT)
+    code = CODE_TIMEOUT;
+  fail (caller, code, why);
+}
+
+static void
+on_deadline (void *arg)
+{
+  struct caller *caller = arg;
+  if (caller->run.stage == RUN_SENT)
+    fail_unknown (caller, CODE_TIMEOUT, "no answer in time");
+  else
+    fail (caller, refusal_code (caller), "not run in time");
+}
+
+/* Waits for SPAN_MS or a change of the group.  */
+static void
+wait_and_retry (struct caller *caller, clk_ms span_ms)
+{
+  caller->run.stage = RUN_WAITING;
+  set_timer (caller, &caller->again, span_ms);
+}
+
+/* Waits for a primary or a sample, for a bounded time.  */
+static void
+hold (struct caller *caller, struct group *group, const char *why)
+{
+  struct run_request *run = &caller->run;
+  clk_ms now_ms = caller_now (caller);
+  if (run->held_since_ms == CLK_NEVER)
+    run->held_since_ms = now_ms;
+  clk_ms left_ms = run->held_since_ms + CALLER_HOLD_MS - now_ms;
+  if (left_ms <= 0 || group == NULL)
+    {
+      fail (caller, refusal_code (caller), why);
+      return;
+    }
+  group_await (group, &caller->waiter);
+  wait_and_retry (caller, left_ms);
+}
+
+/* Goes on after an attempt that certainly did not run.  */
+static void
+retry (struct caller *caller, enum code code)
+{
+  struct run_request *run = &caller->run;
+  struct kernel *kernel = kernel_of (caller);
+  run->refusal = code;
+  log_event (kernel_log (kernel), LOG_INFO, "retry", LOG_S ("id", run->id),
+             LOG_S ("code", code_name (code)),
+             LOG_U ("attempts", run->attempts),
+             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms));
+  if (run->attempts > 3 * CALLER_TRIES)
+    {
+      fail (caller, refusal_code (caller), "refused too often");
+      return;
+    }
+  clk_ms wait_ms = 0;
+  if (code == CODE_BUSY && needs_leader (caller))
+    wait_ms = CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts;
+  wait_and_retry (caller, wait_ms);
+}
+
+static void
+mark_tried (struct caller *caller, const struct backend *backend)
+{
+  struct run_request *run = &caller->run;
+  if (run->tried_count == CALLER_TRIES)
+    return;
+  text_copy (run->tried[run->tried_count++], NAME_BYTES,
+             backend_entry (backend)->id);
+}
+
+static void
+connect_to (struct caller *caller, struct backend *backend)
+{
+  struct run_request *run = &caller->run;
+  run->attempts++;
+  if (!needs_leader (caller))
+    mark_tried (caller, backend);
+  run->stage = RUN_CONNECTING;
+  caller->user.priority = run->route.priority;
+  caller->user.values_hash = caller->values.hash;
+  struct backend_conn *conn = backend_take (backend, &caller->user);
+  if (conn != NULL)
+    run_on (caller, conn);
+}
+
+static void
+dispatch_to_leader (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
+  struct backend *leader = group != NULL ? group_leader (group) : NULL;
+  run->has_floor = false;
+  run->proves = !in_transaction (caller) && !run->writes;
+  if (leader == NULL || !backend_usable (leader))
+    {
+      hold (caller, group, "no primary");
+      return;
+    }
+  connect_to (caller, leader);
+}
+
+/* Sets what position a read must see; returns false if no sample covers
+   it.  */
+static bool
+find_floor (struct caller *caller, const struct group *group)
+{
+  struct run_request *run = &caller->run;
+  clk_ms since_ms
+      = in_transaction (caller) ? caller->tx_begun_ms : run->arrived_ms;
+  clk_ms not_before_ms = since_ms - run->route.max_staleness_ms
+                         + CALLER_STALENESS_MARGIN_MS;
+  /* Commits of the same caller's earlier connections, on any host, precede
+     this session.  */
+  if (run->route.kind == ROUTE_SESSION && caller->opened_ms > not_before_ms)
+    not_before_ms = caller->opened_ms;
+  if (!samples_floor (group_samples (group), not_before_ms, &run->floor))
+    return false;
+  if (position_compare (caller->own, run->floor) > 0)
+    run->floor = caller->own;
+  run->has_floor = true;
+  return true;
+}
+
+/* After all instances lacked the position: it may be one that a promotion
+   rolled back, which the newest sample covers.  */
+static void
+raise_floor (struct caller *caller, struct group *group)
+{
+  struct run_request *run = &caller->run;
+  struct position newest = samples_newest (group_samples (group));
+  if (newest.term > run->floor.term)
+    run->floor = newest;
+  run->tried_count = 0;
+}
+
+static void
+dispatch_read (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
+  run->proves = false;
+  if (group == NULL)
+    {
+      hold (caller, group, "no instance");
+      return;
+    }
+  if (!run->has_floor && !find_floor (caller, group))
+    {
+      group_sample (group);
+      hold (caller, group, "no recent position");
+      return;
+    }
+  struct backend *backend
+      = group_pick (group, run->floor, (const char(*)[NAME_BYTES])run->tried,
+                    run->tried_count);
+  if (backend != NULL)
+    {
+      connect_to (caller, backend);
+      return;
+    }
+  if (run->attempts >= 2 * CALLER_TRIES)
+    {
+      fail (caller, refusal_code (caller), "no instance can serve it");
+      return;
+    }
+  run->attempts++;
+  raise_floor (caller, group);
+  group_await (group, &caller->waiter);
+  wait_and_retry (caller, CALLER_BUSY_WAIT_MS);
+}
+
+static void
+dispatch (struct caller *caller)
+{
+  group_cancel (&caller->waiter);
+  kernel_timer_cancel (kernel_of (caller), &caller->again);
+  if (caller->conn != NULL)
+    run_on (caller, caller->conn);
+  else if (needs_leader (caller))
+    dispatch_to_leader (caller);
+  else
+    dispatch_read (caller);
+}
+
+static void
+send_main (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct backend_conn *conn = caller->conn;
+  char name[VALUE_NAME_BYTES + 2];
+  struct statement statement
+      = { .kind = run->kind, .id = run->id, .text = run->text };
+  if (run->kind == STMT_EXECUTE)
+    {
+      conn_statement_name (run->prepared_kind, run->shape, name, sizeof name);
+      statement.name = name;
+      statement.rest = run->rest;
+      statement.text = NULL;
+    }
+  bool use_floor = run->has_floor && !in_transaction (caller);
+  run->stage = RUN_SENT;
+  run->sent_ms = caller_now (caller);
+  if (run->writes && in_transaction (caller))
+    caller->tx_wrote = true;
+  conn_send (conn, STEP_MAIN, &statement, use_floor ? &run->floor : NULL);
+  if (run->proves)
+    conn_send (conn, STEP_END, &(struct statement){ .kind = STMT_ROLLBACK },
+               NULL);
+  if (is_repeatable (caller))
+    {
+      double usual_ms = backend_typical_ms (conn_backend (conn));
+      clk_ms slow_ms = (clk_ms)(CALLER_SLOW_RATIO * usual_ms);
+      set_timer (caller, &caller->slow,
+                 slow_ms > CALLER_SLOW_MS ? slow_ms : CALLER_SLOW_MS);
+    }
+}
+
+static void
+send_begin (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  bool plain = needs_leader (caller);
+  run->begin_sent_ms = caller_now (caller);
+  conn_send (caller->conn, STEP_BEGIN,
+             &(struct statement){ .kind
+                                  = plain ? STMT_BEGIN : STMT_BEGIN_READ },
+             plain ? NULL : &run->floor);
+}
+
+/* Brings CONN to where the statement can be sent, and sends it.  */
+static void
+run_on (struct caller *caller, struct backend_conn *conn)
+{
+  struct run_request *run = &caller->run;
+  bool opens = in_transaction (caller) && caller->conn == NULL;
+  caller->conn = conn;
+  run->stage = RUN_SETTING_UP;
+  conn_set_up (conn, &caller->values, run->prepared_kind, run->shape);
+  run->begins = opens || run->proves;
+  if (run->begins)
+    send_begin (caller);
+  if (conn_outstanding (conn) == 0)
+    send_main (caller);
+}
+
+static void
+on_granted (struct conn_user *user, struct backend_conn *conn)
+{
+  run_on (caller_of (user), conn);
+}
+
+/* Goes on after the instance refused BEGIN or a set-up step.  */
+static void
+set_up_refused (struct caller *caller, const struct answer *answer)
+{
+  struct backend *backend = conn_backend (caller->conn);
+  struct group *group = group_of (caller);
+  enum code code = answer->code;
+  bool pinned = in_transaction (caller) && !caller->run.begins;
+  if (code == CODE_LAGGING && group != NULL)
+    group_behind (group, backend);
+  drop_conn (caller, false);
+  if (pinned)
+    fail (caller, CODE_ABORTED, "the instance refused a value");
+  else
+    retry (caller, code_not_run (code) ? code : CODE_BUSY);
+}
+
+/* Learns from a statement that succeeded.  */
+static void
+learn (struct caller *caller, struct backend *backend,
+       const struct answer *answer)
+{
+  const struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
+  bool commits = run->kind == STMT_COMMIT
+                     ? caller->tx_wrote
+                     : run->writes && !in_transaction (caller);
+  /* An instance that lost the lead refuses statements of a plain
+     transaction, and writes.  */
+  bool proves = commits || run->proves
+                || (in_transaction (caller) && !caller->tx_read_only
+                    && run->kind != STMT_COMMIT);
+  if (!answer->has_position || group == NULL)
+    return;
+  if (commits && position_compare (answer->position, caller->own) > 0)
+    caller->own = answer->position;
+  if (proves)
+    group_proven (group, backend, answer->position, run->sent_ms);
+}
+
+static void
+main_succeeded (struct caller *caller, struct backend *backend,
+                const struct answer *answer)
+{
+  learn (caller, backend, answer);
+  if (!in_transaction (caller))
+    drop_conn (caller, false);
+  else if (caller->run.kind == STMT_COMMIT)
+    {
+      drop_conn (caller, false);
+      caller->tx = TX_IDLE;
+    }
+  else
+    caller->tx_ran = true;
+  caller_finish (caller, answer);
+}
+
+/* A statement of a transaction that an instance answered with an error.  */
+static void
+tx_failed (struct caller *caller, const struct answer *answer)
+{
+  struct run_request *run = &caller->run;
+  if (answer->state == TX_OPEN && answer->code == CODE_BUSY)
+    {
+      /* The transaction stands and the statement did not run.  */
+      run->refusal = CODE_BUSY;
+      run->attempts++;
+      wait_and_retry (caller, CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts);
+      return;
+    }
+  bool first = !caller->tx_ran && run->kind != STMT_COMMIT;
+  if (first && code_not_run (answer->code))
+    {
+      caller->tx_wrote = false;
+      drop_conn (caller, false);
+      retry (caller, answer->code);
+      return;
+    }
+  enum code code = answer->code;
+  if (run->kind == STMT_COMMIT && !code_not_run (code))
+    {
+      fail_unknown (caller, code == CODE_TIMEOUT ? code : CODE_INDOUBT,
+                    answer->text);
+      return;
+    }
+  if (code == CODE_NOSTMT)
+    code = CODE_ABORTED;
+  fail (caller, code, answer->text);
+}
+
+static void
+main_failed (struct caller *caller, struct backend *backend,
+             const struct answer *answer)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
+  enum code code = answer->code;
+  if (code == CODE_LAGGING && group != NULL)
+    group_behind (group, backend);
+  if (code == CODE_READONLY && group != NULL)
+    group_refuted (group, backend);
+  if (in_transaction (caller))
+    {
+      tx_failed (caller, answer);
+      return;
+    }
+  drop_conn (caller, false);
+  if (code_not_run (code)
+      || (is_repeatable (caller)
+          && (code == CODE_FAILED || code == CODE_TIMEOUT)
+          && run->tried_count < CALLER_TRIES))
+    retry (caller, code);
+  else
+    caller_finish (caller, answer);
+}
+
+static void
+on_answered (struct conn_user *user, struct backend_conn *conn,
+             enum conn_step step, const struct answer *answer)
+{
+  struct caller *caller = caller_of (user);
+  struct run_request *run = &caller->run;
+  struct backend *backend = conn_backend (conn);
+  if (step == STEP_END)
+    return;
+  if (step == STEP_MAIN)
+    {
+      kernel_timer_cancel (kernel_of (caller), &caller->slow);
+      backend_note_latency (backend, caller_now (caller) - run->sent_ms,
+                            answer->code == CODE_BUSY);
+      if (answer->code == CODE_OK)
+        main_succeeded (caller, backend, answer);
+      else
+        main_failed (caller, backend, answer);
+      return;
+    }
+  if (run->stage != RUN_SETTING_UP)
+    {
+      /* A value set between the statements of a transaction.  */
+      if (answer->code != CODE_OK)
+        {
+          drop_conn (caller, false);
+          caller->tx = TX_FAILED;
+          caller->tx_untold = true;
+        }
+      return;
+    }
+  if (answer->code != CODE_OK)
+    {
+      set_up_refused (caller, answer);
+      return;
+    }
+  if (step == STEP_BEGIN && needs_leader (caller) && answer->has_position
+      && group_of (caller) != NULL)
+    group_proven (group_of (caller), backend, answer->position,
+                  run->begin_sent_ms);
+  if (conn_outstanding (conn) == 0)
+    send_main (caller);
+}
+
+static void
+on_lost (struct conn_user *user)
+{
+  struct caller *caller = caller_of (user);
+  struct run_request *run = &caller->run;
+  caller->conn = NULL;
+  kernel_timer_cancel (kernel_of (caller), &caller->slow);
+  if (run->stage == RUN_NONE || run->stage == RUN_WAITING)
+    {
+      /* Between the statements of a transaction.  */
+      if (!in_transaction (caller))
+        return;
+      if (run->stage == RUN_NONE)
+        {
+          caller->tx = TX_FAILED;
+          caller->tx_untold = true;
+        }
+      else
+        fail (caller, CODE_ABORTED, "connection lost");
+      return;
+    }
+  if (run->stage == RUN_SENT && is_repeatable (caller))
+    retry (caller, CODE_LOST);
+  else if (run->stage == RUN_SENT)
+    fail_unknown (caller, CODE_INDOUBT, "connection lost");
+  else if (in_transaction (caller) && caller->tx_ran)
+    fail (caller, CODE_ABORTED, "connection lost");
+  else
+    retry (caller, CODE_BUSY);
+}
+
+static const struct conn_user_ops user_ops = { .granted = on_granted,
+                                               .answered = on_answered,
+                                               .lost = on_lost };
+
+static void
+on_again (void *arg)
+{
+  dispatch (arg);
+}
+
+static void
+on_wake (struct group_waiter *waiter)
+{
+  struct caller *caller
+      = (struct caller *)(void *)((char *)waiter
+                                  - offsetof (struct caller, waiter));
+  set_timer (caller, &caller->again, 0);
+}
+
+/* Gives up waiting for a read and tries another instance.  */
+static void
+on_slow (void *arg)
+{
+  struct caller *caller = arg;
+  if (caller->run.stage != RUN_SENT)
+    return;
+  drop_conn (caller, false);
+  retry (caller, CODE_TIMEOUT);
+}
+
+void
+caller_run_init (struct caller *caller)
+{
+  caller->user.ops = &user_ops;
+  caller->waiter.wake = on_wake;
+  caller->again = (struct ktimer){ .fire = on_again, .arg = caller };
+  caller->deadline = (struct ktimer){ .fire = on_deadline, .arg = caller };
+  caller->slow = (struct ktimer){ .fire = on_slow, .arg = caller };
+}
+
+void
+caller_run_start (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  const struct route *route
+      = in_transaction (caller)
+            ? &caller->tx_route
+            : catalog_route (caller->callers->catalog, caller->database);
+  if (route == NULL)
+    {
+      caller_finish_code (caller, CODE_NODB, caller->database);
+      return;
+    }
+  run->route = *route;
+  run->deadline_ms = run->arrived_ms + route->timeout_ms;
+  set_timer (caller, &caller->deadline, route->timeout_ms);
+  dispatch (caller);
+}
--- /dev/null
+++ b/src/proxy/catalog.c
@@ -0,0 +1,252 @@
+#include "proxy/catalog.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "kernel/mem.h"
+
+struct catalog_instance
+{
+  struct instance_entry entry;
+  struct catalog *catalog;
+  bool listed;
+  struct ktimer lapse; /* armed while the entry is absent */
+  UT_hash_handle hh;
+};
+
+struct catalog_route
+{
+  struct route route;
+  UT_hash_handle hh;
+};
+
+struct catalog
+{
+  struct module base;
+  struct catalog_config config;
+  struct catalog_route *routes; /* by database */
+  struct catalog_instance *instances;
+  struct catalog_watch watch;
+};
+
+void
+catalog_config_clear (struct catalog_config *config)
+{
+  free (config->routes);
+  free (config->groups);
+  *config = (struct catalog_config){ 0 };
+}
+
+void
+catalog_watch (struct catalog *catalog, const struct catalog_watch *watch)
+{
+  catalog->watch = *watch;
+}
+
+static void
+clear_routes (struct catalog *catalog)
+{
+  struct catalog_route *row, *next;
+  HASH_ITER (hh, catalog->routes, row, next)
+  {
+    HASH_DEL (catalog->routes, row);
+    free (row);
+  }
+}
+
+static void
+index_routes (struct catalog *catalog)
+{
+  clear_routes (catalog);
+  for (size_t i = 0; i < catalog->config.route_count; i++)
+    {
+      const struct route *route = &catalog->config.routes[i];
+      struct catalog_route *row;
+      HASH_FIND_STR (catalog->routes, route->database, row);
+      if (row != NULL)
+        continue;
+      row = mem_zalloc (sizeof *row);
+      row->route = *route;
+      HASH_ADD_STR (catalog->routes, route.database, row);
+    }
+}
+
+bool
+catalog_set_config (struct catalog *catalog, struct catalog_config *config)
+{
+  struct kernel *kernel = catalog->base.kernel;
+  if (config->version <= catalog->config.version)
+    {
+      catalog_config_clear (config);
+      return false;
+    }
+  log_event (kernel_log (kernel), LOG_NOTICE, "config_in_force",
+             LOG_U ("version", config->version),
+             LOG_U ("before", catalog->config.version),
+             LOG_U ("routes", config->route_count));
+  catalog_config_clear (&catalog->config);
+  catalog->config = *config;
+  *config = (struct catalog_config){ 0 };
+  index_routes (catalog);
+  if (catalog->watch.config != NULL)
+    catalog->watch.config (catalog->watch.arg);
+  return true;
+}
+
+const struct catalog_config *
+catalog_config (const struct catalog *catalog)
+{
+  return &catalog->config;
+}
+
+const struct route *
+catalog_route (const struct catalog *catalog, const char *database)
+{
+  struct catalog_route *row;
+  HASH_FIND_STR (catalog->routes, database, row);
+  return row != NULL ? &row->route : NULL;
+}
+
+static void
+drop_instance (struct catalog_instance *instance)
+{
+  struct catalog *catalog = instance->catalog;
+  kernel_timer_cancel (catalog->base.kernel, &instance->lapse);
+  HASH_DEL (catalog->instances, instance);
+  free (instance);
+}
+
+static void
+instance_lapsed (void *arg)
+{
+  struct catalog_instance *instance = arg;
+  struct catalog *catalog = instance->catalog;
+  char id[NAME_BYTES];
+  memcpy (id, instance->entry.id, sizeof id);
+  log_event (kernel_log (catalog->base.kernel), LOG_NOTICE, "instance_gone",
+             LOG_S ("instance", id), LOG_I ("absent_ms", CATALOG_LAPSE_MS));
+  drop_instance (instance);
+  if (catalog->watch.gone != NULL)
+    catalog->watch.gone (catalog->watch.arg, id);
+}
+
+/* Whether a decision depends on a difference of A and B.  */
+static bool
+entry_differs (const struct instance_entry *a, const struct instance_entry *b)
+{
+  return strcmp (a->group, b->group) != 0
+         || strcmp (a->address, b->address) != 0 || a->port != b->port
+         || a->draining != b->draining || a->is_primary != b->is_primary
+         || a->born_ms != b->born_ms;
+}
+
+void
+catalog_set_instance (struct catalog *catalog,
+                      const struct instance_entry *entry)
+{
+  struct kernel *kernel = catalog->base.kernel;
+  struct catalog_instance *instance;
+  HASH_FIND_STR (catalog->instances, entry->id, instance);
+  bool changed = true;
+  if (instance == NULL)
+    {
+      instance = mem_zalloc (sizeof *instance);
+      instance->catalog = catalog;
+      instance->lapse.fire = instance_lapsed;
+      instance->lapse.arg = instance;
+      instance->entry = *entry;
+      HASH_ADD_STR (catalog->instances, entry.id, instance);
+    }
+  else
+    {
+      if (entry->revision < instance->entry.revision)
+        return;
+      changed = entry_differs (&instance->entry, entry)
+                || instance->lapse.slot != 0;
+      instance->entry = *entry;
+    }
+  instance->listed = true;
+  kernel_timer_cancel (kernel, &instance->lapse);
+  if (!changed)
+    return;
+  log_event (kernel_log (kernel), LOG_NOTICE, "instance",
+             LOG_S ("instance", entry->id), LOG_S ("group", entry->group),
+             LOG_S ("address", entry->address), LOG_S ("zone", entry->zone),
+             LOG_S ("role", entry->is_primary ? "primary" : "replica"),
+             LOG_S ("state", entry->draining ? "draining" : "ready"),
+             LOG_U ("revision", entry->revision));
+  if (catalog->watch.instance != NULL)
+    catalog->watch.instance (catalog->watch.arg, &instance->entry);
+}
+
+static void
+note_absent (struct catalog_instance *instance)
+{
+  struct kernel *kernel = instance->catalog->base.kernel;
+  if (instance->lapse.slot != 0)
+    return;
+  log_event (kernel_log (kernel), LOG_NOTICE, "instance_absent",
+             LOG_S ("instance", instance->entry.id));
+  kernel_timer_set (kernel, &instance->lapse,
+                    kernel_now (kernel) + CATALOG_LAPSE_MS);
+}
+
+void
+catalog_remove_instance (struct catalog *catalog, const char *id,
+                         uint64_t revision)
+{
+  struct catalog_instance *instance;
+  HASH_FIND_STR (catalog->instances, id, instance);
+  if (instance != NULL && instance->entry.revision <= revision)
+    note_absent (instance);
+}
+
+void
+catalog_begin_list (struct catalog *catalog)
+{
+  struct catalog_instance *instance, *next;
+  HASH_ITER (hh, catalog->instances, instance, next)
+  instance->listed = false;
+}
+
+void
+catalog_end_list (struct catalog *catalog, uint64_t revision)
+{
+  struct catalog_instance *instance, *next;
+  HASH_ITER (hh, catalog->instances, instance, next)
+  {
+    if (!instance->listed && instance->entry.revision <= revision)
+      note_absent (instance);
+  }
+}
+
+static void
+catalog_free (struct module *module)
+{
+  struct catalog *catalog = (struct catalog *)module;
+  struct catalog_instance *instance, *next;
+  HASH_ITER (hh, catalog->instances, instance, next)
+  drop_instance (instance);
+  clear_routes (catalog);
+  catalog_config_clear (&catalog->config);
+  free (catalog);
+}
+
+static const struct module_ops catalog_ops = { .free = catalog_free };
+
+struct catalog *
+catalog_new (void)
+{
+  struct catalog *catalog = mem_zalloc (sizeof *catalog);
+  catalog->base.ops = &catalog_ops;
+  catalog->base.name = "catalog";
+  return catalog;
+}
+
+struct module *
+catalog_module (struct catalog *catalog)
+{
+  return &catalog->base;
+}
--- /dev/null
+++ b/src/proxy/group.h
@@ -0,0 +1,123 @@
+/* group - the replica groups: which instance leads, which serves a read.
+
+   An instance is proven to lead at a moment by accepting a plain BEGIN or a
+   write; its position then covers all commits acknowledged before.  The
+   platform's entry of an instance is a hint only.
+
+   Module name: "groups".  */
+
+#ifndef SAVORYWAY_PROXY_GROUP_H
+#define SAVORYWAY_PROXY_GROUP_H
+
+#include "kernel/kernel.h"
+#include "proxy/backend.h"
+#include "proxy/catalog.h"
+#include "proxy/samples.h"
+
+/* Between looks at the instances; the shorter one while no primary is
+   known.  */
+#define GROUP_TICK_MS 100
+#define GROUP_SEARCH_MS 40
+
+/* The newest sample of a group in use is never older than this.  */
+#define GROUP_SAMPLE_MS 400
+
+/* How long a primary may be silent until the host that watches over it
+   asks.  */
+#define GROUP_WATCH_MS 200
+
+/* A group without a read for this long is not sampled.  */
+#define GROUP_IN_USE_MS 5000
+
+/* An instance that just refused a position is not asked again for it.  */
+#define GROUP_BEHIND_MS 40
+
+/* What a read on the primary costs above one on a replica: writes have only
+   the primary.  */
+#define GROUP_PRIMARY_COST_MS 12.0
+/* Round trip to another failure domain.  */
+#define GROUP_DOMAIN_COST_MS 3.0
+/* A refusal for a position that is not there yet.  */
+#define GROUP_BEHIND_COST_MS 5.0
+/* A new connection, or the wait for one.  */
+#define GROUP_CONNECT_COST_MS 15.0
+/* A share of statements refused for want of a slot.  */
+#define GROUP_REFUSAL_COST_MS 60.0
+
+/* An instance whose entry is gone gets no work after this: the platform
+   counts work that reaches it later than its drain time.  */
+#define GROUP_GONE_MS 2500
+
+/* Connections of an instance that one host counts on at the most.  */
+#define GROUP_SHARE_LIMIT 6
+
+#define GROUP_INSTANCES 16
+
+struct groups;
+struct group;
+
+/* Someone who waits for a change of a group: a sample, a primary.  */
+struct group_waiter
+{
+  /* Calls nothing of this module: it arms a timer.  */
+  void (*wake) (struct group_waiter *waiter);
+  struct group *group; /* NULL while not waiting */
+  struct group_waiter *prev;
+  struct group_waiter *next;
+};
+
+struct groups_options
+{
+  struct instance_port *port;
+  const char *zone; /* failure domain of this host */
+};
+
+struct groups *groups_new (const struct groups_options *options);
+struct module *groups_module (struct groups *groups);
+
+struct group *groups_find (struct groups *groups, const char *name);
+void groups_each (struct groups *groups,
+                  void (*fn) (void *arg, struct group *group), void *arg);
+
+/* Sets how many hosts share the connections of the instances.  */
+void groups_set_hosts (struct groups *groups, size_t hosts);
+
+/* Whether every group that a route names has an instance that answers.  */
+bool groups_ready (struct groups *groups);
+
+/* Sets whether this host watches over the primaries.  */
+void groups_set_watch (struct groups *groups, bool watch);
+
+const char *group_name (const struct group *group);
+const struct group_settings *group_settings (const struct group *group);
+const struct samples *group_samples (const struct group *group);
+
+/* The instance believed to lead, or NULL.  */
+struct backend *group_leader (struct group *group);
+/* Since when no instance was known to lead; CLK_NEVER if one is.  */
+clk_ms group_leaderless_since_ms (const struct group *group);
+
+size_t group_instances (struct group *group,
+                        struct backend *out[GROUP_INSTANCES]);
+
+void group_await (struct group *group, struct group_waiter *waiter);
+void group_cancel (struct group_waiter *waiter);
+
+/* Asks the primary for a new sample.  */
+void group_sample (struct group *group);
+
+/* Notes that BACKEND led when asked at ASKED_MS, with its position.  */
+void group_proven (struct group *group, struct backend *backend,
+                   struct position position, clk_ms asked_ms);
+/* Notes that BACKEND refused as it does not lead.  */
+void group_refuted (struct group *group, struct backend *backend);
+/* Notes that BACKEND's log lacked a position.  */
+void group_behind (struct group *group, struct backend *backend);
+
+/* Chooses the instance for a read that must see FLOOR, but none of TRIED;
+   NULL if there is none.  */
+struct backend *group_pick (struct group *group, struct position floor,
+                            const char tried[][NAME_BYTES],
+                            size_t tried_count);
+
+#endif
--- /dev/null
+++ b/src/proxy/roster.h
@@ -0,0 +1,71 @@
+/* roster - the hosts of the system, the duty of one of them, and what hosts
+   report of primaries; all kept in the platform's store.
+
+   Every host holds one lease.  Under it stand its registration, its reports,
+   and, on one host, the duty to promote.  The fencing token of the duty is
+   the revision at which its key was created: it rises with each holder.
+
+     savoryway/hosts/HOST             failure domain
+     savoryway/duty                   "HOST INCARNATION"
+     savoryway/reports/GROUP/HOST     instance that HOST can't reach
+
+   Module name: "roster".  */
+
+#ifndef SAVORYWAY_PROXY_ROSTER_H
+#define SAVORYWAY_PROXY_ROSTER_H
+
+#include "kernel/kernel.h"
+#include "port/platform_port.h"
+
+/* A holder that died is replaced after this.  */
+#define ROSTER_LEASE_MS 2400
+#define ROSTER_RENEW_MS 800
+#define ROSTER_CALL_TIMEOUT_MS 700
+
+/* Spread of the attempts to take the duty, so that one host wins before the
+   others ask.  */
+#define ROSTER_SPREAD_MS 200
+
+/* A host that gave the duty up does not take it for this long.  */
+#define ROSTER_YIELD_MS 4000
+
+struct roster_options
+{
+  struct platform_port *store;
+  const char *host;
+  const char *zone;
+};
+
+struct roster;
+
+struct roster *roster_new (const struct roster_options *options);
+struct module *roster_module (struct roster *roster);
+
+/* Registered hosts, this one included.  */
+size_t roster_hosts (const struct roster *roster);
+
+/* Whether this host holds the duty under a lease that has not run out; sets
+   TOKEN.  */
+bool roster_holds (const struct roster *roster, uint64_t *token);
+
+/* Asks the store whether this host still holds the duty.  HELD is false if
+   another one does; a store that does not answer leaves it to the lease.  */
+typedef void (*roster_verified) (void *arg, bool held);
+void roster_verify (struct roster *roster, roster_verified done, void *arg);
+
+/* Gives the duty up.  */
+void roster_yield (struct roster *roster, const char *why);
+
+/* Reports that this host can't reach INSTANCE, the primary of GROUP; NULL
+   takes the report back.  */
+void roster_report (struct roster *roster, const char *group,
+                    const char *instance);
+
+/* Hosts that report INSTANCE, this one included.  */
+size_t roster_reports (const struct roster *roster, const char *group,
+                       const char *instance);
+
+/* Ends the lease and all that stands under it.  */
+void roster_leave (struct roster *roster);
+
+#endif
--- /dev/null
+++ b/src/proxy/samples.c
@@ -0,0 +1,74 @@
+#include "proxy/samples.h"
+
+#include "proxy/statement.h"
+
+static const struct sample *
+newest (const struct samples *samples)
+{
+  return &samples->items[samples->last];
+}
+
+void
+samples_note (struct samples *samples, struct position position,
+                clk_ms asked_ms)
+{
+  if (samples->count > 0)
+    {
+      struct sample *last = &samples->items[samples->last];
+      /* A late answer of an older term proves nothing of the newer one.  */
+      if (position.term < last->position.term || asked_ms < last->asked_ms)
+        return;
+      /* The slot of the newest moves on until a step has passed since the
+         one before it, so that samples stay spread over time.  */
+      size_t before = (samples->last + SAMPLES_KEPT - 1)
+                      % SAMPLES_KEPT;
+      if (samples->count > 1
+          && asked_ms - samples->items[before].asked_ms
+                 < SAMPLES_STEP_MS)
+        {
+          if (position_compare (position, last->position) >= 0)
+            *last = (struct sample){ position, asked_ms };
+          return;
+        }
+      samples->last = (samples->last + 1) % SAMPLES_KEPT;
+    }
+  if (samples->count < SAMPLES_KEPT)
+    samples->count++;
+  samples->items[samples->last]
+      = (struct sample){ position, asked_ms };
+}
+
+bool
+samples_floor (const struct samples *samples, clk_ms not_before_ms,
+                 struct position *position)
+{
+  if (samples->count == 0 || newest (samples)->asked_ms < not_before_ms)
+    return false;
+  const struct sample *found = newest (samples);
+  for (size_t i = 1; i < samples->count; i++)
+    {
+      const struct sample *sample
+          = &samples->items[(samples->last + SAMPLES_KEPT - i)
+                                % SAMPLES_KEPT];
+      /* Positions of an older term may have been rolled back.  */
+      if (sample->asked_ms < not_before_ms
+          || sample->position.term != found->position.term)
+        break;
+      found = sample;
+    }
+  *position = found->position;
+  return true;
+}
+
+clk_ms
+samples_newest_ms (const struct samples *samples)
+{
+  return samples->count > 0 ? newest (samples)->asked_ms : CLK_LONG_AGO;
+}
+
+struct position
+samples_newest (const struct samples *samples)
+{
+  return samples->count > 0 ? newest (samples)->position
+                              : (struct position){ 0 };
+}
--- /dev/null
+++ b/src/proxy/statement.c
@@ -0,0 +1,53 @@
+#include "proxy/statement.h"
+
+static const char *const code_names[] = {
+  [CODE_OK] = "ok",
+  [CODE_BUSY] = "busy",
+  [CODE_LAGGING] = "lagging",
+  [CODE_READONLY] = "readonly",
+  [CODE_MISROUTED] = "misrouted",
+  [CODE_TOOMANY] = "toomany",
+  [CODE_ABORTED] = "aborted",
+  [CODE_NOSTMT] = "nostmt",
+  [CODE_FAILED] = "failed",
+  [CODE_TIMEOUT] = "timeout",
+  [CODE_INDOUBT] = "indoubt",
+  [CODE_NODB] = "nodb",
+  [CODE_TOOLARGE] = "toolarge",
+  [CODE_MALFORMED] = "malformed",
+  [CODE_NOAUTH] = "noauth",
+  [CODE_LOST] = "lost",
+};
+
+const char *
+code_name (enum code code)
+{
+  return code_names[code];
+}
+
+bool
+code_not_run (enum code code)
+{
+  switch (code)
+    {
+    case CODE_BUSY:
+    case CODE_LAGGING:
+    case CODE_READONLY:
+    case CODE_MISROUTED:
+    case CODE_TOOMANY:
+    case CODE_NOSTMT:
+      return true;
+    default:
+      return false;
+    }
+}
+
+int
+position_compare (struct position a, struct position b)
+{
+  if (a.term != b.term)
+    return a.term < b.term ? -1 : 1;
+  if (a.lsn != b.lsn)
+    return a.lsn < b.lsn ? -1 : 1;
+  return 0;
+}
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -395,7 +395,7 @@
     "[{\"Key\":7,\"ModifyIndex\":1,\"Value\":null}]",
     "{\"ID\":\"\"}",
   };
-  struct consul_answer answer;
+  struct kv_answer answer;
   for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
     for (int kind = PLATFORM_GET; kind <= PLATFORM_LEASE; kind++)
       {
@@ -405,9 +405,9 @@
             || (kind == PLATFORM_HOSTS && body[0] == '[' && body[1] != '\0'))
           continue;
         consul_answer_parse (&answer, kind, 200, "x", body, strlen (body));
-        ck_assert_int_eq (answer.reply.status, consul_lost_status (kind));
+        ck_assert_int_eq (answer.reply.status, kv_lost_status (kind));
         ck_assert_uint_eq (answer.reply.item_count, 0);
-        consul_answer_clear (&answer);
+        kv_answer_clear (&answer);
       }
   consul_answer_parse (&answer, PLATFORM_WRITE, 500, NULL, NULL, 0);
   ck_assert_int_eq (answer.reply.status, PLATFORM_LOST);
@@ -443,12 +443,12 @@
       size_t length = strlen (body);
       for (uint64_t k = rng_below (&rng, 4) + 1; k > 0; k--)
         body[rng_below (&rng, length)] = (char)rng_below (&rng, 256);
-      struct consul_answer answer;
+      struct kv_answer answer;
       consul_answer_parse (&answer, kind, 200, "7", body,
                            rng_below (&rng, length + 1));
       enum platform_status status = answer.reply.status;
-      ck_assert (status == PLATFORM_OK || status == consul_lost_status (kind));
-      consul_answer_clear (&answer);
+      ck_assert (status == PLATFORM_OK || status == kv_lost_status (kind));
+      kv_answer_clear (&answer);
       free (body);
     }
 }
