Keep half of the fair share of connections, open one at a time

Change: an idle connection above half of the fair share is closed after 1.5 s, the share is the limit, one is opened at a time.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -87,10 +87,11 @@
   return kernel_log (backend->options.kernel);
 }
 
+/* Connections that stay open without use.  */
 static uint32_t
-limit_of (const struct backend *backend)
+kept (const struct backend *backend)
 {
-  return backend->share + BACKEND_BURST_CONNECTIONS;
+  return backend->share > 1 ? backend->share / 2 : 1;
 }
 
 static void
@@ -278,7 +279,7 @@
       /* The instance lives; others hold its connections.  */
       note_heard (backend);
       backend->failures++;
-      backend->retry_ms = now_ms (backend) + BACKEND_RETRY_LAST_MS;
+      backend->retry_ms = now_ms (backend) + BACKEND_TOOMANY_RETRY_MS;
       arm_tick (backend, backend->retry_ms);
     }
   else if (was_opening || code != CODE_LOST)
@@ -343,10 +344,9 @@
         arm_tick (backend, backend->retry_ms);
       return;
     }
-  /* One at a time while the instance does not answer.  */
-  if (backend->failures > 0 && wanted > 1)
-    wanted = 1;
-  while (backend->opening < wanted && backend->conn_count < limit_of (backend))
+  if (wanted > BACKEND_OPENING_LIMIT)
+    wanted = BACKEND_OPENING_LIMIT;
+  while (backend->opening < wanted && backend->conn_count < backend->share)
     open_conn (backend);
 }
 
@@ -432,14 +432,14 @@
     open_wanted (backend);
 }
 
-/* Closes idle connections above the fair share.  */
+/* Closes idle connections above those that are kept.  */
 static void
 trim (struct backend *backend)
 {
   struct backend_conn *conn, *next;
   DL_FOREACH_SAFE (backend->conns, conn, next)
   {
-    if (backend->conn_count <= backend->share)
+    if (backend->conn_count <= kept (backend))
       return;
     if (conn->phase == CONN_IDLE
         && now_ms (backend) - conn->since_ms >= BACKEND_SPARE_IDLE_MS)
@@ -454,7 +454,7 @@
   trim (backend);
   serve_waiters (backend);
   open_wanted (backend);
-  if (backend->conn_count > backend->share)
+  if (backend->conn_count > kept (backend))
     arm_tick (backend, now_ms (backend) + BACKEND_SPARE_IDLE_MS);
 }
 
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -18,8 +18,8 @@
 /* Connections kept open to an instance without use.  */
 #define BACKEND_WARM_CONNECTIONS 1
 
-/* Beyond the fair share, while the instance has connections left.  */
-#define BACKEND_BURST_CONNECTIONS 3
+/* Opened at a time: each takes a slot of the instance for a while.  */
+#define BACKEND_OPENING_LIMIT 1
 
 /* Connections of an instance that no host counts on: those of hosts that
    were replaced linger for seconds.  */
@@ -28,9 +28,13 @@
 #define BACKEND_CONNECT_TIMEOUT_MS 600
 #define BACKEND_RETRY_FIRST_MS 40
 #define BACKEND_RETRY_LAST_MS 400
+/* After a refusal as the instance has no connection left.  */
+#define BACKEND_TOOMANY_RETRY_MS 150
 
-/* An idle connection above the fair share is closed after this.  */
-#define BACKEND_SPARE_IDLE_MS 5000
+/* An idle connection above half of the fair share is closed after this:
+   after a loss of power the instance counts those of before for seconds,
+   and the hosts that return need the other half.  */
+#define BACKEND_SPARE_IDLE_MS 1500
 
 /* A connection whose transaction is not ended in this time is closed, and
    one whose last statement is not answered in the second.  */
@@ -101,7 +105,7 @@
 void backend_set_entry (struct backend *backend,
                         const struct instance_entry *entry);
 
-/* Sets the fair share of connections of this host.  */
+/* Sets the fair share of connections of this host, its limit.  */
 void backend_set_share (struct backend *backend, uint32_t share);
 
 /* Opens what is kept open without use.  */
