--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -186,6 +186,8 @@
   conn->user = NULL;
   kernel_timer_cancel (backend->options.kernel, &conn->limit);
   set_phase (conn, CONN_IDLE);
+  if (backend->conn_count > kept (backend))
+    arm_tick (backend, now_ms (backend) + BACKEND_SPARE_IDLE_MS);
   serve_waiters (backend);
 }
 
@@ -670,6 +672,12 @@
   open_wanted (backend);
 }
 
+clk_ms
+backend_heard_ms (const struct backend *backend)
+{
+  return backend->heard_ms;
+}
+
 struct position
 backend_position (const struct backend *backend)
 {
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -131,6 +131,9 @@
    CLK_NEVER if it answers.  */
 clk_ms backend_silent_since_ms (struct backend *backend);
 
+/* When the instance last answered anything.  */
+clk_ms backend_heard_ms (const struct backend *backend);
+
 struct position backend_position (const struct backend *backend);
 uint32_t backend_busy (const struct backend *backend);
 uint32_t backend_open_connections (const struct backend *backend);
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -149,6 +149,11 @@
   if (run->held_since_ms == CLK_NEVER)
     run->held_since_ms = now_ms;
   clk_ms left_ms = run->held_since_ms + CALLER_HOLD_MS - now_ms;
+  if (groups_cut_off (caller->callers->groups))
+    {
+      fail (caller, refusal_code (caller), "this host is cut off");
+      return;
+    }
   if (left_ms <= 0 || group == NULL)
     {
       fail (caller, refusal_code (caller), why);
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -39,6 +39,7 @@
   struct group *table;
   size_t hosts;
   bool watch;
+  bool cut_off;
   struct ktimer tick;
 };
 
@@ -343,6 +344,39 @@
     backend_probe (group->leader);
 }
 
+/* Counts the instances of other failure domains, and those of them that
+   can't be reached; asks the others that were silent of late.  */
+static void
+check_domains (struct groups *groups)
+{
+  struct group *group, *next;
+  size_t outside = 0, lost = 0, doubtful = 0;
+  struct backend *doubted[GROUP_INSTANCES];
+  HASH_ITER (hh, groups->table, group, next)
+  for (size_t i = 0; i < group->count; i++)
+    {
+      struct backend *backend = group->instances[i]->backend;
+      if (strcmp (backend_entry (backend)->zone, groups->zone) == 0)
+        continue;
+      outside++;
+      if (!backend_usable (backend))
+        lost++;
+      else if (now_ms (group) - backend_heard_ms (backend) >= GROUP_DOUBT_MS
+               && doubtful < GROUP_INSTANCES)
+        doubted[doubtful++] = backend;
+    }
+  for (size_t i = 0; lost > 0 && i < doubtful; i++)
+    backend_probe (doubted[i]);
+  bool cut_off = 2 * lost > outside;
+  if (cut_off == groups->cut_off)
+    return;
+  groups->cut_off = cut_off;
+  log_event (kernel_log (groups->base.kernel),
+             cut_off ? LOG_WARNING : LOG_NOTICE,
+             cut_off ? "cut_off" : "cut_off_ended", LOG_U ("lost", lost),
+             LOG_U ("outside", outside));
+}
+
 static void
 on_tick (void *arg)
 {
@@ -359,6 +393,7 @@
     if (group->leader == NULL && group->count > 0)
       span_ms = GROUP_SEARCH_MS;
   }
+  check_domains (groups);
   kernel_timer_set (kernel, &groups->tick, kernel_now (kernel) + span_ms);
 }
 
@@ -394,6 +429,12 @@
   groups->watch = watch;
 }
 
+bool
+groups_cut_off (const struct groups *groups)
+{
+  return groups->cut_off;
+}
+
 bool
 groups_ready (struct groups *groups)
 {
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -44,6 +44,10 @@
 /* A share of statements refused for want of a slot.  */
 #define GROUP_REFUSAL_COST_MS 60.0
 
+/* While an instance is silent, others are asked that were not heard from for
+   this long: a cut shows by all of a failure domain.  */
+#define GROUP_DOUBT_MS 250
+
 /* An instance whose entry is gone gets no work after this: the platform
    counts work that reaches it later than its drain time.  */
 #define GROUP_GONE_MS 2500
@@ -85,6 +89,11 @@
 /* Whether every group that a route names has an instance that answers.  */
 bool groups_ready (struct groups *groups);
 
+/* Whether this host is cut off: it reaches less than half of the instances
+   of other failure domains.  Then hosts elsewhere serve its callers
+   better.  */
+bool groups_cut_off (const struct groups *groups);
+
 /* Sets whether this host watches over the primaries.  */
 void groups_set_watch (struct groups *groups, bool watch);
 
