--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -161,7 +161,9 @@
 static uint32_t
 fair_share (const struct group *group)
 {
-  size_t hosts = group->groups->hosts > 0 ? group->groups->hosts : 1;
+  size_t hosts = group->groups->hosts;
+  if (hosts == 0)
+    return GROUP_SHARE_FIRST;
   uint32_t limit = group->settings.connections;
   uint32_t usable = limit > BACKEND_RESERVED_CONNECTIONS
                         ? limit - BACKEND_RESERVED_CONNECTIONS
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -54,6 +54,8 @@
 
 /* Connections of an instance that one host counts on at the most.  */
 #define GROUP_SHARE_LIMIT 6
+/* The same while the hosts are not counted yet.  */
+#define GROUP_SHARE_FIRST 2
 
 #define GROUP_INSTANCES 16
 
--- /dev/null
+++ b/src/proxy/lease.c
@@ -0,0 +1,176 @@
+#include "proxy/lease.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/mem.h"
+#include "kernel/text.h"
+
+#define LEASE_ID_BYTES 32
+
+struct lease
+{
+  struct kernel *kernel;
+  struct platform_port *store;
+  const char *purpose;
+  clk_ms ttl_ms;
+  clk_ms renew_ms;
+  void (*gained) (void *arg);
+  void *arg;
+  char id[LEASE_ID_BYTES];
+  clk_ms until_ms;
+  clk_ms asked_ms;
+  bool wanted;
+  uint64_t call;
+  struct ktimer timer;
+};
+
+static void
+arm (struct lease *lease, clk_ms span_ms)
+{
+  if (lease->wanted)
+    kernel_timer_set (lease->kernel, &lease->timer,
+                      kernel_now (lease->kernel) + span_ms);
+}
+
+static void
+on_reply (void *arg, const struct platform_reply *reply)
+{
+  struct lease *lease = arg;
+  lease->call = 0;
+  if (reply->status == PLATFORM_NOT_FOUND)
+    {
+      lease_lost (lease);
+      return;
+    }
+  if (reply->status != PLATFORM_OK)
+    {
+      arm (lease, LEASE_RETRY_MS);
+      return;
+    }
+  bool is_new = reply->lease != NULL;
+  if (is_new && !text_copy (lease->id, sizeof lease->id, reply->lease))
+    {
+      arm (lease, LEASE_RETRY_MS);
+      return;
+    }
+  lease->until_ms = lease->asked_ms + lease->ttl_ms;
+  arm (lease, lease->renew_ms);
+  if (is_new && lease->wanted)
+    lease->gained (lease->arg);
+}
+
+static void
+ask (struct lease *lease)
+{
+  bool renew = lease->id[0] != '\0';
+  struct platform_call call
+      = { .kind = renew ? PLATFORM_RENEW : PLATFORM_LEASE,
+          .purpose = lease->purpose,
+          .timeout_ms = LEASE_CALL_TIMEOUT_MS,
+          .ttl_ms = lease->ttl_ms,
+          .lease = lease->id };
+  if (lease->call != 0 || !lease->wanted)
+    return;
+  lease->asked_ms = kernel_now (lease->kernel);
+  lease->call = lease->store->ops->call (lease->store, &call, on_reply, lease);
+}
+
+static void
+on_timer (void *arg)
+{
+  ask (arg);
+}
+
+struct lease *
+lease_new (struct kernel *kernel, struct platform_port *store,
+           const char *purpose, clk_ms ttl_ms, clk_ms renew_ms,
+           void (*gained) (void *arg), void *arg)
+{
+  struct lease *lease = mem_zalloc (sizeof *lease);
+  lease->kernel = kernel;
+  lease->store = store;
+  lease->purpose = purpose;
+  lease->ttl_ms = ttl_ms;
+  lease->renew_ms = renew_ms;
+  lease->gained = gained;
+  lease->arg = arg;
+  lease->timer = (struct ktimer){ .fire = on_timer, .arg = lease };
+  return lease;
+}
+
+void
+lease_begin (struct lease *lease)
+{
+  if (lease->wanted)
+    return;
+  lease->wanted = true;
+  ask (lease);
+}
+
+static void
+ignore_reply (void *arg, const struct platform_reply *reply)
+{
+  (void)arg;
+  (void)reply; /* unanswered, the lease ends by itself */
+}
+
+static void
+forget (struct lease *lease)
+{
+  if (lease->call != 0)
+    lease->store->ops->cancel (lease->store, lease->call);
+  lease->call = 0;
+  lease->wanted = false;
+  lease->id[0] = '\0';
+  kernel_timer_cancel (lease->kernel, &lease->timer);
+}
+
+void
+lease_end (struct lease *lease)
+{
+  struct platform_call call = { .kind = PLATFORM_RELEASE,
+                                .purpose = lease->purpose,
+                                .timeout_ms = LEASE_CALL_TIMEOUT_MS,
+                                .lease = lease->id };
+  if (lease->id[0] != '\0')
+    lease->store->ops->call (lease->store, &call, ignore_reply, NULL);
+  forget (lease);
+}
+
+void
+lease_free (struct lease *lease)
+{
+  if (lease == NULL)
+    return;
+  forget (lease);
+  free (lease);
+}
+
+bool
+lease_wanted (const struct lease *lease)
+{
+  return lease->wanted;
+}
+
+bool
+lease_valid (const struct lease *lease)
+{
+  return lease->id[0] != '\0'
+         && kernel_now (lease->kernel) < lease->until_ms;
+}
+
+const char *
+lease_id (const struct lease *lease)
+{
+  return lease->id;
+}
+
+void
+lease_lost (struct lease *lease)
+{
+  log_event (kernel_log (lease->kernel), LOG_WARNING, "lease_ended",
+             LOG_S ("lease", lease->id), LOG_S ("purpose", lease->purpose));
+  lease->id[0] = '\0';
+  arm (lease, 0);
+}
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -10,6 +10,7 @@
   struct kernel *kernel;
   struct platform_port *port;
   char *prefix;
+  clk_ms settle_ms;
   struct mirror_events events;
   bool listing;
   char *after;       /* last key of the page before; NULL for the first */
@@ -124,6 +125,12 @@
       take_items (mirror, reply);
       if (reply->index > mirror->revision)
         mirror->revision = reply->index;
+      if (mirror->settle_ms > 0 && reply->item_count > 0)
+        {
+          kernel_timer_set (mirror->kernel, &mirror->retry,
+                            kernel_now (mirror->kernel) + mirror->settle_ms);
+          return;
+        }
     }
   next_call (mirror);
 }
@@ -154,12 +161,14 @@
 
 struct mirror *
 mirror_new (struct kernel *kernel, struct platform_port *port,
-            const char *prefix, const struct mirror_events *events)
+            const char *prefix, clk_ms settle_ms,
+            const struct mirror_events *events)
 {
   struct mirror *mirror = mem_zalloc (sizeof *mirror);
   mirror->kernel = kernel;
   mirror->port = port;
   mirror->prefix = mem_strdup (prefix);
+  mirror->settle_ms = settle_ms;
   mirror->events = *events;
   mirror->retry.fire = on_retry;
   mirror->retry.arg = mirror;
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -11,7 +11,7 @@
 #include "port/platform_port.h"
 
 /* Of one watch; keep-alive probes notice a dead connection earlier.  */
-#define MIRROR_WAIT_MS 15000
+#define MIRROR_WAIT_MS 30000
 #define MIRROR_TIMEOUT_MS 1200
 #define MIRROR_RETRY_FIRST_MS 60
 #define MIRROR_RETRY_LAST_MS 700
@@ -29,8 +29,10 @@
 
 struct mirror;
 
+/* After a change the next watch begins SETTLE_MS later, so that changes that
+   come together cost one call.  */
 struct mirror *mirror_new (struct kernel *kernel, struct platform_port *port,
-                           const char *prefix,
+                           const char *prefix, clk_ms settle_ms,
                            const struct mirror_events *events);
 void mirror_free (struct mirror *mirror);
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -9,14 +9,15 @@
 #include "kernel/mem.h"
 #include "kernel/text.h"
 #include "proxy/group.h"
+#include "proxy/lease.h"
 #include "proxy/mirror.h"
 
 #define PREFIX "savoryway/"
 #define HOSTS_PREFIX PREFIX "hosts/"
-#define DUTY_KEY PREFIX "duty"
-#define REPORTS_PREFIX PREFIX "reports/"
+#define NOW_PREFIX PREFIX "now/"
+#define DUTY_KEY NOW_PREFIX "duty"
+#define REPORTS_PREFIX NOW_PREFIX "reports/"
 #define KEY_BYTES 200
-#define LEASE_ID_BYTES 32
 
 /* A key of the store as it was last seen.  */
 struct roster_key
@@ -58,21 +59,16 @@
   struct mirror *mirror;
   struct roster_key *keys;
   size_t host_count;
-  char lease[LEASE_ID_BYTES]; /* empty: none */
-  clk_ms lease_until_ms;
-  clk_ms lease_asked_ms;
-  bool lease_call;
-  bool register_call;
+  struct lease *host_lease;
+  struct lease *duty_lease;
   bool duty_call;
   clk_ms yield_until_ms;
   bool leaving;
-  struct ktimer renew;
+  struct ktimer count;
   struct ktimer claim;
   struct roster_report_state *reports;
 };
 
-static void ask_lease (struct roster *roster);
-
 static clk_ms
 now_ms (const struct roster *roster)
 {
@@ -87,23 +83,16 @@
   return key;
 }
 
-static bool
-lease_valid (const struct roster *roster)
-{
-  return roster->lease[0] != '\0'
-         && now_ms (roster) < roster->lease_until_ms;
-}
-
 static void
-write_key (struct roster *roster, const char *key, const char *value,
-           uint64_t expected, platform_done done, void *arg)
+write_key (struct roster *roster, const struct lease *lease, const char *key,
+           const char *value, uint64_t expected, platform_done done, void *arg)
 {
   struct platform_write write = { .key = key,
                                   .value = value != NULL ? value : "",
                                   .value_bytes
                                   = value != NULL ? strlen (value) : 0,
                                   .expect_index = expected,
-                                  .lease = roster->lease,
+                                  .lease = lease_id (lease),
                                   .erase = value == NULL };
   struct platform_call call = { .kind = PLATFORM_WRITE,
                                 .purpose = "roster",
@@ -115,37 +104,68 @@
 
 /* Registration.  */
 
+static void
+own_host_key (const struct roster *roster, char out[KEY_BYTES])
+{
+  snprintf (out, KEY_BYTES, HOSTS_PREFIX "%s", roster->host);
+}
+
 static void
 registered (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
-  roster->register_call = false;
   if (reply->status == PLATFORM_NOT_FOUND)
-    roster->lease[0] = '\0';
+    lease_lost (roster->host_lease);
 }
 
 static void
-own_host_key (const struct roster *roster, char out[KEY_BYTES])
+register_host (struct roster *roster)
 {
-  snprintf (out, KEY_BYTES, HOSTS_PREFIX "%s", roster->host);
+  char name[KEY_BYTES];
+  if (!lease_valid (roster->host_lease) || roster->leaving)
+    return;
+  own_host_key (roster, name);
+  write_key (roster, roster->host_lease, name, roster->zone, 0, registered,
+             roster);
 }
 
-/* Writes the registration if it does not stand under the present lease.  */
 static void
-ensure_registered (struct roster *roster)
+host_lease_gained (void *arg)
 {
-  char name[KEY_BYTES], value[2 * NAME_BYTES];
-  if (!lease_valid (roster) || roster->register_call || roster->leaving
-      || !mirror_complete (roster->mirror))
+  register_host (arg);
+}
+
+/* Takes the count of hosts.  The own registration may be missing: that of an
+   earlier process stood in its way until its lease ended.  */
+static void
+counted (void *arg, const struct platform_reply *reply)
+{
+  struct roster *roster = arg;
+  char name[KEY_BYTES];
+  bool stands = false;
+  if (reply->status != PLATFORM_OK)
     return;
   own_host_key (roster, name);
-  snprintf (value, sizeof value, "%s %s", roster->zone, roster->lease);
-  const struct roster_key *key = find_key (roster, name);
-  if (key != NULL && strcmp (key->value, value) == 0)
-    return;
-  roster->register_call = true;
-  write_key (roster, name, value, key != NULL ? key->revision : 0, registered,
-             roster);
+  for (size_t i = 0; i < reply->item_count; i++)
+    stands |= strcmp (reply->items[i].key, name) == 0;
+  roster->host_count = reply->item_count + !stands;
+  groups_set_hosts (roster->groups, roster->host_count);
+  if (!stands)
+    register_host (roster);
+}
+
+static void
+on_count (void *arg)
+{
+  struct roster *roster = arg;
+  struct platform_call call = { .kind = PLATFORM_LIST,
+                                .purpose = "hosts",
+                                .key = HOSTS_PREFIX,
+                                .stale_ok = true,
+                                .timeout_ms = ROSTER_CALL_TIMEOUT_MS };
+  roster->store->ops->call (roster->store, &call, counted, roster);
+  kernel_timer_set (roster->base.kernel, &roster->count,
+                    now_ms (roster) + ROSTER_COUNT_MS);
 }
 
 /* Reports.  */
@@ -158,7 +178,7 @@
   struct roster_report_state *state = arg;
   state->call = 0;
   if (reply->status == PLATFORM_NOT_FOUND)
-    state->roster->lease[0] = '\0';
+    lease_lost (state->roster->host_lease);
 }
 
 static void
@@ -177,12 +197,13 @@
   report_key (state, name);
   const struct roster_key *key = find_key (roster, name);
   const char *stands = key != NULL ? key->value : "";
-  if (state->call != 0 || !lease_valid (roster)
+  if (state->call != 0 || !lease_valid (roster->host_lease)
       || !mirror_reached (roster->mirror)
       || strcmp (stands, state->wanted) == 0)
     return;
   state->call = 1;
-  write_key (roster, name, state->wanted[0] != '\0' ? state->wanted : NULL,
+  write_key (roster, roster->host_lease, name,
+             state->wanted[0] != '\0' ? state->wanted : NULL,
              key != NULL ? key->revision : 0, report_written, state);
 }
 
@@ -226,7 +247,7 @@
 roster_holds (const struct roster *roster, uint64_t *token)
 {
   const struct roster_key *key = find_key (roster, DUTY_KEY);
-  if (key == NULL || !lease_valid (roster) || roster->leaving
+  if (key == NULL || !lease_valid (roster->duty_lease) || roster->leaving
       || strcmp (key->value, roster->self) != 0)
     return false;
   *token = key->created;
@@ -258,11 +279,24 @@
                                   ? "lost"
                                   : "unknown"));
   if (reply->status == PLATFORM_NOT_FOUND)
-    roster->lease[0] = '\0';
+    lease_lost (roster->duty_lease);
+  else if (reply->status == PLATFORM_CONFLICT)
+    lease_end (roster->duty_lease);
   if (reply->status != PLATFORM_OK && find_key (roster, DUTY_KEY) == NULL)
     claim_soon (roster);
 }
 
+static void
+duty_lease_gained (void *arg)
+{
+  struct roster *roster = arg;
+  if (find_key (roster, DUTY_KEY) != NULL || roster->duty_call)
+    return;
+  roster->duty_call = true;
+  write_key (roster, roster->duty_lease, DUTY_KEY, roster->self, 0, claimed,
+             roster);
+}
+
 static void
 on_claim (void *arg)
 {
@@ -271,20 +305,15 @@
       || !mirror_complete (roster->mirror)
       || find_key (roster, DUTY_KEY) != NULL)
     return;
-  if (!lease_valid (roster) || !mirror_reached (roster->mirror))
+  if (!mirror_reached (roster->mirror))
     {
       claim_soon (roster);
       return;
     }
-  roster->duty_call = true;
-  write_key (roster, DUTY_KEY, roster->self, 0, claimed, roster);
-}
-
-static void
-ignore_reply (void *arg, const struct platform_reply *reply)
-{
-  (void)arg;
-  (void)reply; /* the mirror tells what came of it */
+  if (lease_valid (roster->duty_lease))
+    duty_lease_gained (roster);
+  else
+    lease_begin (roster->duty_lease);
 }
 
 void
@@ -296,7 +325,7 @@
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty_given_up",
              LOG_S ("why", why), LOG_U ("token", key->created));
   roster->yield_until_ms = now_ms (roster) + ROSTER_YIELD_MS;
-  write_key (roster, DUTY_KEY, NULL, key->revision, ignore_reply, NULL);
+  lease_end (roster->duty_lease);
 }
 
 static void
@@ -329,82 +358,15 @@
   roster->store->ops->call (roster->store, &call, verified, check);
 }
 
-/* Lease.  */
-
-static void
-arm_renew (struct roster *roster, clk_ms span_ms)
-{
-  kernel_timer_set (roster->base.kernel, &roster->renew,
-                    now_ms (roster) + span_ms);
-}
-
-static void
-lease_asked (void *arg, const struct platform_reply *reply)
-{
-  struct roster *roster = arg;
-  bool renewed = roster->lease[0] != '\0';
-  roster->lease_call = false;
-  if (reply->status == PLATFORM_OK)
-    {
-      if (reply->lease != NULL)
-        text_copy (roster->lease, sizeof roster->lease, reply->lease);
-      roster->lease_until_ms = roster->lease_asked_ms + ROSTER_LEASE_MS;
-      ensure_registered (roster);
-      arm_renew (roster, ROSTER_RENEW_MS);
-      return;
-    }
-  if (reply->status == PLATFORM_NOT_FOUND)
-    {
-      log_event (kernel_log (roster->base.kernel), LOG_WARNING, "lease_ended",
-                 LOG_S ("lease", roster->lease));
-      roster->lease[0] = '\0';
-      arm_renew (roster, 0);
-      return;
-    }
-  arm_renew (roster, renewed ? ROSTER_RENEW_MS / 3 : ROSTER_RENEW_MS / 2);
-}
-
-static void
-ask_lease (struct roster *roster)
-{
-  bool renew = roster->lease[0] != '\0';
-  struct platform_call call
-      = { .kind = renew ? PLATFORM_RENEW : PLATFORM_LEASE,
-          .purpose = renew ? "renew" : "lease",
-          .timeout_ms = ROSTER_CALL_TIMEOUT_MS,
-          .ttl_ms = ROSTER_LEASE_MS,
-          .lease = roster->lease };
-  if (roster->lease_call || roster->leaving)
-    return;
-  roster->lease_call = true;
-  /* The lease runs from the arrival of the call, later than this.  */
-  roster->lease_asked_ms = now_ms (roster);
-  roster->store->ops->call (roster->store, &call, lease_asked, roster);
-}
-
-static void
-on_renew (void *arg)
-{
-  struct roster *roster = arg;
-  struct roster_report_state *state, *next;
-  ask_lease (roster);
-  ensure_registered (roster);
-  HASH_ITER (hh, roster->reports, state, next)
-  send_report (state);
-}
-
 void
 roster_leave (struct roster *roster)
 {
-  struct platform_call call = { .kind = PLATFORM_RELEASE,
-                                .purpose = "release",
-                                .timeout_ms = ROSTER_CALL_TIMEOUT_MS,
-                                .lease = roster->lease };
   if (roster->leaving)
     return;
   roster->leaving = true;
-  if (roster->lease[0] != '\0')
-    roster->store->ops->call (roster->store, &call, ignore_reply, NULL);
+  kernel_timer_cancel (roster->base.kernel, &roster->claim);
+  lease_end (roster->duty_lease);
+  lease_end (roster->host_lease);
 }
 
 /* The mirror of the store.  */
@@ -421,33 +383,16 @@
   groups_set_watch (roster->groups, mine);
   if (key == NULL)
     claim_soon (roster);
-}
-
-static bool
-is_host_key (const struct roster_key *key)
-{
-  return strncmp (key->name, HOSTS_PREFIX, strlen (HOSTS_PREFIX)) == 0;
-}
-
-static void
-hosts_changed (struct roster *roster)
-{
-  groups_set_hosts (roster->groups, roster->host_count);
+  else if (!mine && lease_wanted (roster->duty_lease) && !roster->duty_call)
+    lease_end (roster->duty_lease);
 }
 
 static void
 drop_key (struct roster *roster, struct roster_key *key)
 {
-  bool host = is_host_key (key);
   bool duty = strcmp (key->name, DUTY_KEY) == 0;
   HASH_DEL (roster->keys, key);
   free (key);
-  if (host)
-    {
-      roster->host_count--;
-      hosts_changed (roster);
-      ensure_registered (roster);
-    }
   if (duty)
     duty_changed (roster);
 }
@@ -474,11 +419,6 @@
   snprintf (key->value, sizeof key->value, "%s", item->value);
   if (!changed)
     return;
-  if (is_new && is_host_key (key))
-    {
-      roster->host_count++;
-      hosts_changed (roster);
-    }
   if (strcmp (key->name, DUTY_KEY) == 0)
     duty_changed (roster);
 }
@@ -513,7 +453,6 @@
   }
   if (find_key (roster, DUTY_KEY) == NULL)
     claim_soon (roster);
-  ensure_registered (roster);
 }
 
 static void
@@ -544,11 +483,21 @@
             (unsigned long long)rng_u64 (kernel_rng (module->kernel)));
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
   roster->mirror
-      = mirror_new (module->kernel, roster->store, PREFIX, &events);
-  roster->renew = (struct ktimer){ .fire = on_renew, .arg = roster };
+      = mirror_new (module->kernel, roster->store, NOW_PREFIX, 0, &events);
+  roster->host_lease
+      = lease_new (module->kernel, roster->store, "host_lease",
+                   ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
+                   host_lease_gained, roster);
+  roster->duty_lease
+      = lease_new (module->kernel, roster->store, "duty_lease",
+                   ROSTER_DUTY_LEASE_MS, ROSTER_DUTY_RENEW_MS,
+                   duty_lease_gained, roster);
+  roster->count = (struct ktimer){ .fire = on_count, .arg = roster };
   roster->claim = (struct ktimer){ .fire = on_claim, .arg = roster };
   mirror_start (roster->mirror);
-  ask_lease (roster);
+  lease_begin (roster->host_lease);
+  kernel_timer_set (module->kernel, &roster->count,
+                    now_ms (roster) + ROSTER_COUNT_FIRST_MS);
 }
 
 static void
@@ -558,6 +507,8 @@
   struct roster_key *key, *next;
   struct roster_report_state *state, *following;
   mirror_free (roster->mirror);
+  lease_free (roster->host_lease);
+  lease_free (roster->duty_lease);
   HASH_ITER (hh, roster->keys, key, next)
   {
     HASH_DEL (roster->keys, key);
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -1,13 +1,14 @@
 /* roster - the hosts of the system, the duty of one of them, and what hosts
    report of primaries; all kept in the platform's store.
 
-   Every host holds one lease.  Under it stand its registration, its reports,
-   and, on one host, the duty to promote.  The fencing token of the duty is
-   the revision at which its key was created: it rises with each holder.
+   A host's registration and reports stand under a lease of its own; the duty
+   to promote, which one host has, under a shorter one.  The fencing token of
+   the duty is the revision at which its key was created: it rises with each
+   holder.  Hosts are only counted, now and then; the rest is watched.
 
-     savoryway/hosts/HOST             failure domain
-     savoryway/duty                   "HOST INCARNATION"
-     savoryway/reports/GROUP/HOST     instance that HOST can't reach
+     savoryway/hosts/HOST                 failure domain
+     savoryway/now/duty                   "HOST INCARNATION"
+     savoryway/now/reports/GROUP/HOST     instance that HOST can't reach
 
    Module name: "roster".  */
 
@@ -17,9 +18,19 @@
 #include "kernel/kernel.h"
 #include "port/platform_port.h"
 
-/* A holder that died is replaced after this.  */
-#define ROSTER_LEASE_MS 2400
-#define ROSTER_RENEW_MS 800
+/* A holder of the duty that died is replaced after this.  */
+#define ROSTER_DUTY_LEASE_MS 2400
+#define ROSTER_DUTY_RENEW_MS 800
+
+/* A host that died no longer counts after this.  */
+#define ROSTER_HOST_LEASE_MS 8000
+#define ROSTER_HOST_RENEW_MS 2500
+
+/* Hosts are counted after the first span, for those that start together, and
+   then every second one.  */
+#define ROSTER_COUNT_FIRST_MS 3000
+#define ROSTER_COUNT_MS 15000
+
 #define ROSTER_CALL_TIMEOUT_MS 700
 
 /* Spread of the attempts to take the duty, so that one host wins before the
@@ -41,7 +52,7 @@
 struct roster *roster_new (const struct roster_options *options);
 struct module *roster_module (struct roster *roster);
 
-/* Registered hosts, this one included.  */
+/* Registered hosts, this one included, as last counted.  */
 size_t roster_hosts (const struct roster *roster);
 
 /* Whether this host holds the duty under a lease that has not run out; sets
