--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -91,7 +91,7 @@
 static uint32_t
 kept (const struct backend *backend)
 {
-  return backend->share > 1 ? backend->share / 2 : 1;
+  return (backend->share + 1) / 2;
 }
 
 static void
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -157,21 +157,20 @@
   wake_waiters (instance->group);
 }
 
-/* Connections of an instance that this host may count on.  */
+/* Connections of an instance that this host may open.  */
 static uint32_t
 fair_share (const struct group *group)
 {
   size_t hosts = group->groups->hosts;
+  size_t limit = group->settings.connections;
   if (hosts == 0)
     return GROUP_SHARE_FIRST;
-  uint32_t limit = group->settings.connections;
-  uint32_t usable = limit > BACKEND_RESERVED_CONNECTIONS
-                        ? limit - BACKEND_RESERVED_CONNECTIONS
-                        : 1;
-  uint32_t share = usable / (uint32_t)hosts;
+  size_t share = limit > BACKEND_RESERVED_CONNECTIONS
+                     ? (limit - BACKEND_RESERVED_CONNECTIONS) / hosts
+                     : 0;
   if (share > GROUP_SHARE_LIMIT)
     share = GROUP_SHARE_LIMIT;
-  return share > 0 ? share : 1;
+  return share > 0 ? (uint32_t)share : 1;
 }
 
 static struct member_instance *
