Weigh reports of an unreachable primary by failure domain

Cause: on ardhi the cut failure domain has 7 of 13 hosts, so the others never were half of the hosts: the duty went around and no primary was replaced for the 6 s of the cut; a host elsewhere also took itself for cut off. Change: a failure domain reports if half of its hosts do, and most domains must report; cut off is who reaches no instance in most of the other domains; the duty's lease is 1.5 s, probes time out after 250 ms.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -44,7 +44,7 @@
 /* An unanswered statement makes an instance suspect after this; a probe
    takes no slot, so its limit is the shorter one.  */
 #define BACKEND_SILENT_MS 250
-#define BACKEND_PROBE_TIMEOUT_MS 300
+#define BACKEND_PROBE_TIMEOUT_MS 250
 
 #define BACKEND_STATEMENTS 64 /* prepared on a connection */
 
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -20,7 +20,7 @@
 #define GROUP_SEARCH_MS 40
 
 /* The newest sample of a group in use is never older than this.  */
-#define GROUP_SAMPLE_MS 400
+#define GROUP_SAMPLE_MS 300
 
 /* How long a primary may be silent until the host that watches over it
    asks.  */
@@ -58,6 +58,7 @@
 #define GROUP_SHARE_FIRST 2
 
 #define GROUP_INSTANCES 16
+#define GROUP_DOMAINS 32
 
 struct groups;
 struct group;
@@ -91,9 +92,9 @@
 /* Whether every group that a route names has an instance that answers.  */
 bool groups_ready (struct groups *groups);
 
-/* Whether this host is cut off: it reaches less than half of the instances
-   of other failure domains.  Then hosts elsewhere serve its callers
-   better.  */
+/* Whether this host is cut off: it reaches no instance in most of the other
+   failure domains, of which there are two or more.  Then hosts elsewhere
+   serve its callers better.  */
 bool groups_cut_off (const struct groups *groups);
 
 /* Sets whether this host watches over the primaries.  */
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -312,12 +312,11 @@
 consider_hand_over (struct change *change, struct group *group,
                     struct backend *leader)
 {
-  struct roster *roster = change->promoter->roster;
-  size_t hosts = roster_hosts (roster);
-  size_t reports
-      = roster_reports (roster, change->group, backend_entry (leader)->id);
+  struct roster_view view
+      = roster_reports (change->promoter->roster, change->group,
+                        backend_entry (leader)->id);
   change->silent_ms = CLK_NEVER;
-  if (3 * reports < hosts || reports == 0)
+  if (3 * view.hosts_reporting < view.hosts || view.hosts_reporting == 0)
     change->reported_ms = CLK_NEVER;
   else if (change->reported_ms == CLK_NEVER)
     change->reported_ms = now_ms (change);
@@ -338,12 +337,11 @@
                    struct backend *leader)
 {
   struct roster *roster = change->promoter->roster;
-  size_t hosts = roster_hosts (roster);
-  size_t reports
-      = roster_reports (roster, change->group, backend_entry (leader)->id);
+  struct roster_view view = roster_reports (roster, change->group,
+                                            backend_entry (leader)->id);
   if (change->silent_ms == CLK_NEVER)
     change->silent_ms = now_ms (change);
-  if (2 * reports >= hosts)
+  if (2 * view.domains_reporting > view.domains)
     {
       if (has_candidate (group, leader))
         start_change (change, leader, false, "the primary is unreachable");
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -1,6 +1,6 @@
 /* promoter - orders changes of primary; acts on the host with the duty.
 
-   A primary that the holder and at least half of the hosts can't reach is
+   A primary that neither the holder nor most failure domains can reach is
    replaced by the instance with the furthest log.  One that is leaving, or
    that a third of the hosts can't reach while the holder can, is handed over
    without loss: it steps down, an instance receives all that it had, and is
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -30,12 +30,18 @@
   UT_hash_handle hh;
 };
 
+/* A failure domain, and its hosts as last counted.  */
+struct roster_domain
+{
+  char name[NAME_BYTES];
+  size_t hosts;
+};
+
 /* What this host wants to stand in the store.  */
 struct roster_report_state
 {
   char group[NAME_BYTES];
-  char wanted[NAME_BYTES];  /* empty: no report */
-  char written[NAME_BYTES]; /* of the last write that may have worked */
+  char wanted[2 * NAME_BYTES]; /* empty: no report */
   uint64_t call;
   struct roster *roster;
   UT_hash_handle hh;
@@ -59,6 +65,8 @@
   struct mirror *mirror;
   struct roster_key *keys;
   size_t host_count;
+  size_t domain_count;
+  struct roster_domain domains[ROSTER_DOMAINS];
   struct lease *host_lease;
   struct lease *duty_lease;
   bool duty_call;
@@ -135,6 +143,24 @@
   register_host (arg);
 }
 
+static void
+count_host (struct roster *roster, const char *zone)
+{
+  struct roster_domain *domain = roster->domains;
+  size_t i = 0;
+  while (i < roster->domain_count && strcmp (domain[i].name, zone) != 0)
+    i++;
+  if (i == ROSTER_DOMAINS || strlen (zone) >= NAME_BYTES)
+    return;
+  if (i == roster->domain_count)
+    {
+      roster->domain_count++;
+      domain[i] = (struct roster_domain){ 0 };
+      text_copy (domain[i].name, NAME_BYTES, zone);
+    }
+  domain[i].hosts++;
+}
+
 /* Takes the count of hosts.  The own registration may be missing: that of an
    earlier process stood in its way until its lease ended.  */
 static void
@@ -146,8 +172,14 @@
   if (reply->status != PLATFORM_OK)
     return;
   own_host_key (roster, name);
+  roster->domain_count = 0;
   for (size_t i = 0; i < reply->item_count; i++)
-    stands |= strcmp (reply->items[i].key, name) == 0;
+    {
+      stands |= strcmp (reply->items[i].key, name) == 0;
+      count_host (roster, reply->items[i].value);
+    }
+  if (!stands)
+    count_host (roster, roster->zone);
   roster->host_count = reply->item_count + !stands;
   groups_set_hosts (roster->groups, roster->host_count);
   if (!stands)
@@ -221,26 +253,55 @@
       text_copy (state->group, sizeof state->group, group);
       HASH_ADD_STR (roster->reports, group, state);
     }
-  if (!text_copy (state->wanted, sizeof state->wanted,
-                  instance != NULL ? instance : ""))
-    return;
+  if (instance != NULL)
+    snprintf (state->wanted, sizeof state->wanted, "%s %s", instance,
+              roster->zone);
+  else
+    state->wanted[0] = '\0';
   send_report (state);
 }
 
-size_t
-roster_reports (const struct roster *roster, const char *group,
-                const char *instance)
+/* Whether REPORT, "INSTANCE DOMAIN", is about INSTANCE, by a host of
+   DOMAIN.  */
+static bool
+report_matches (const char *report, const char *instance, const char *domain)
+{
+  size_t length = strlen (instance);
+  return strncmp (report, instance, length) == 0 && report[length] == ' '
+         && strcmp (report + length + 1, domain) == 0;
+}
+
+static size_t
+count_reports (const struct roster *roster, const char *prefix,
+               const char *instance, const char *domain)
 {
-  char prefix[KEY_BYTES];
-  int length = snprintf (prefix, sizeof prefix, REPORTS_PREFIX "%s/", group);
   const struct roster_key *key;
   size_t count = 0;
   for (key = roster->keys; key != NULL; key = key->hh.next)
-    count += strncmp (key->name, prefix, (size_t)length) == 0
-             && strcmp (key->value, instance) == 0;
+    count += strncmp (key->name, prefix, strlen (prefix)) == 0
+             && report_matches (key->value, instance, domain);
   return count;
 }
 
+struct roster_view
+roster_reports (const struct roster *roster, const char *group,
+                const char *instance)
+{
+  char prefix[KEY_BYTES];
+  struct roster_view view = { .domains = roster->domain_count };
+  snprintf (prefix, sizeof prefix, REPORTS_PREFIX "%s/", group);
+  for (size_t i = 0; i < roster->domain_count; i++)
+    {
+      const struct roster_domain *domain = &roster->domains[i];
+      size_t reports
+          = count_reports (roster, prefix, instance, domain->name);
+      view.hosts += domain->hosts;
+      view.hosts_reporting += reports;
+      view.domains_reporting += 2 * reports >= domain->hosts;
+    }
+  return view;
+}
+
 /* Duty.  */
 
 bool
@@ -463,12 +524,6 @@
     claim_soon (roster);
 }
 
-size_t
-roster_hosts (const struct roster *roster)
-{
-  return roster->host_count > 0 ? roster->host_count : 1;
-}
-
 static void
 roster_start (struct module *module)
 {
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -8,7 +8,8 @@
 
      savoryway/hosts/HOST                 failure domain
      savoryway/now/duty                   "HOST INCARNATION"
-     savoryway/now/reports/GROUP/HOST     instance that HOST can't reach
+     savoryway/now/reports/GROUP/HOST     "INSTANCE DOMAIN": HOST, of the
+                                          failure domain, can't reach it
 
    Module name: "roster".  */
 
@@ -19,8 +20,8 @@
 #include "port/platform_port.h"
 
 /* A holder of the duty that died is replaced after this.  */
-#define ROSTER_DUTY_LEASE_MS 2400
-#define ROSTER_DUTY_RENEW_MS 800
+#define ROSTER_DUTY_LEASE_MS 1500
+#define ROSTER_DUTY_RENEW_MS 450
 
 /* A host that died no longer counts after this.  */
 #define ROSTER_HOST_LEASE_MS 8000
@@ -33,6 +34,8 @@
 
 #define ROSTER_CALL_TIMEOUT_MS 700
 
+#define ROSTER_DOMAINS 32
+
 /* Spread of the attempts to take the duty, so that one host wins before the
    others ask.  */
 #define ROSTER_SPREAD_MS 200
@@ -52,9 +55,6 @@
 struct roster *roster_new (const struct roster_options *options);
 struct module *roster_module (struct roster *roster);
 
-/* Registered hosts, this one included, as last counted.  */
-size_t roster_hosts (const struct roster *roster);
-
 /* Whether this host holds the duty under a lease that has not run out; sets
    TOKEN.  */
 bool roster_holds (const struct roster *roster, uint64_t *token);
@@ -72,9 +72,19 @@
 void roster_report (struct roster *roster, const char *group,
                     const char *instance);
 
-/* Hosts that report INSTANCE, this one included.  */
-size_t roster_reports (const struct roster *roster, const char *group,
-                       const char *instance);
+/* Who can't reach an instance.  A failure domain counts as reporting if half
+   of its hosts do.  */
+struct roster_view
+{
+  size_t hosts;
+  size_t hosts_reporting;
+  size_t domains;
+  size_t domains_reporting;
+};
+
+/* Counts the hosts that report INSTANCE, this one included.  */
+struct roster_view roster_reports (const struct roster *roster,
+                                   const char *group, const char *instance);
 
 /* Ends the lease and all that stands under it.  */
 void roster_leave (struct roster *roster);
