Let one mirror of a host ask the store while it is away

Change: the roster's mirror asks every 350 ms at the most, the other mirrors and the leases are woken by it.

--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -21,6 +21,7 @@
   clk_ms until_ms;
   clk_ms asked_ms;
   bool wanted;
+  bool unanswered;
   uint64_t call;
   struct ktimer timer;
 };
@@ -33,11 +34,21 @@
                       kernel_now (lease->kernel) + span_ms);
 }
 
+/* Waits before the next try; a short lease can't wait for long.  */
+static void
+retry_later (struct lease *lease)
+{
+  clk_ms wait_ms = lease->renew_ms / 2;
+  arm (lease, wait_ms < LEASE_RETRY_MS ? wait_ms : LEASE_RETRY_MS);
+}
+
 static void
 on_reply (void *arg, const struct platform_reply *reply)
 {
   struct lease *lease = arg;
   lease->call = 0;
+  lease->unanswered
+      = reply->status != PLATFORM_OK && reply->status != PLATFORM_NOT_FOUND;
   if (reply->status == PLATFORM_NOT_FOUND)
     {
       lease_lost (lease);
@@ -45,13 +56,13 @@
     }
   if (reply->status != PLATFORM_OK)
     {
-      arm (lease, LEASE_RETRY_MS);
+      retry_later (lease);
       return;
     }
   bool is_new = reply->lease != NULL;
   if (is_new && !text_copy (lease->id, sizeof lease->id, reply->lease))
     {
-      arm (lease, LEASE_RETRY_MS);
+      retry_later (lease);
       return;
     }
   lease->until_ms = lease->asked_ms + lease->ttl_ms;
@@ -147,6 +158,13 @@
   free (lease);
 }
 
+void
+lease_wake (struct lease *lease)
+{
+  if (lease->unanswered)
+    arm (lease, 0);
+}
+
 bool
 lease_wanted (const struct lease *lease)
 {
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -10,7 +10,7 @@
 #include "port/platform_port.h"
 
 #define LEASE_CALL_TIMEOUT_MS 700
-#define LEASE_RETRY_MS 300
+#define LEASE_RETRY_MS 1000
 
 struct lease;
 
@@ -25,6 +25,9 @@
 /* Ends it at the store, with the keys under it.  */
 void lease_end (struct lease *lease);
 
+/* Tries again at once, if the store did not answer.  */
+void lease_wake (struct lease *lease);
+
 bool lease_wanted (const struct lease *lease);
 bool lease_valid (const struct lease *lease);
 /* Its number as text; empty if there is none.  */
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -11,6 +11,7 @@
   struct platform_port *port;
   char *prefix;
   clk_ms settle_ms;
+  clk_ms retry_ms;
   struct mirror_events events;
   bool listing;
   char *after;       /* last key of the page before; NULL for the first */
@@ -40,11 +41,10 @@
 retry_later (struct mirror *mirror)
 {
   clk_ms wait_ms = MIRROR_RETRY_FIRST_MS;
-  for (uint32_t i = 0; i < mirror->failures && wait_ms < MIRROR_RETRY_LAST_MS;
-       i++)
+  for (uint32_t i = 0; i < mirror->failures && wait_ms < mirror->retry_ms; i++)
     wait_ms *= 2;
-  if (wait_ms > MIRROR_RETRY_LAST_MS)
-    wait_ms = MIRROR_RETRY_LAST_MS;
+  if (wait_ms > mirror->retry_ms)
+    wait_ms = mirror->retry_ms;
   mirror->failures++;
   wait_ms += (clk_ms)rng_below (kernel_rng (mirror->kernel),
                                 (uint64_t)wait_ms);
@@ -160,15 +160,15 @@
 }
 
 struct mirror *
-mirror_new (struct kernel *kernel, struct platform_port *port,
-            const char *prefix, clk_ms settle_ms,
+mirror_new (const struct mirror_options *options,
             const struct mirror_events *events)
 {
   struct mirror *mirror = mem_zalloc (sizeof *mirror);
-  mirror->kernel = kernel;
-  mirror->port = port;
-  mirror->prefix = mem_strdup (prefix);
-  mirror->settle_ms = settle_ms;
+  mirror->kernel = options->kernel;
+  mirror->port = options->port;
+  mirror->prefix = mem_strdup (options->prefix);
+  mirror->settle_ms = options->settle_ms;
+  mirror->retry_ms = options->retry_ms;
   mirror->events = *events;
   mirror->retry.fire = on_retry;
   mirror->retry.arg = mirror;
@@ -182,6 +182,14 @@
   next_call (mirror);
 }
 
+void
+mirror_wake (struct mirror *mirror)
+{
+  if (mirror->failures > 0 && mirror->retry.slot != 0)
+    kernel_timer_set (mirror->kernel, &mirror->retry,
+                      kernel_now (mirror->kernel));
+}
+
 void
 mirror_free (struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -14,7 +14,10 @@
 #define MIRROR_WAIT_MS 30000
 #define MIRROR_TIMEOUT_MS 1200
 #define MIRROR_RETRY_FIRST_MS 60
-#define MIRROR_RETRY_LAST_MS 700
+/* Refused calls have their price: of a host's mirrors one asks often, and the
+   others are woken when it is answered.  */
+#define MIRROR_RETRY_LAST_MS 350
+#define MIRROR_RETRY_WOKEN_MS 2500
 
 struct mirror_events
 {
@@ -29,15 +32,25 @@
 
 struct mirror;
 
-/* After a change the next watch begins SETTLE_MS later, so that changes that
-   come together cost one call.  */
-struct mirror *mirror_new (struct kernel *kernel, struct platform_port *port,
-                           const char *prefix, clk_ms settle_ms,
+struct mirror_options
+{
+  struct kernel *kernel;
+  struct platform_port *port;
+  const char *prefix;
+  clk_ms settle_ms; /* from a change to the next watch, so that changes that
+                       come together cost one call */
+  clk_ms retry_ms;  /* longest wait while the store does not answer */
+};
+
+struct mirror *mirror_new (const struct mirror_options *options,
                            const struct mirror_events *events);
 void mirror_free (struct mirror *mirror);
 
 void mirror_start (struct mirror *mirror);
 
+/* Tries again at once, if the store did not answer.  */
+void mirror_wake (struct mirror *mirror);
+
 /* Whether a full listing has been taken in.  */
 bool mirror_complete (const struct mirror *mirror);
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -58,6 +58,8 @@
 {
   struct module base;
   struct platform_port *store;
+  void (*regained) (void *arg);
+  void *arg;
   char host[NAME_BYTES];
   char zone[NAME_BYTES];
   char self[2 * NAME_BYTES]; /* "HOST INCARNATION" */
@@ -520,7 +522,12 @@
 on_reach (void *arg, bool reached)
 {
   struct roster *roster = arg;
-  if (reached && find_key (roster, DUTY_KEY) == NULL)
+  if (!reached)
+    return;
+  lease_wake (roster->host_lease);
+  lease_wake (roster->duty_lease);
+  roster->regained (roster->arg);
+  if (find_key (roster, DUTY_KEY) == NULL)
     claim_soon (roster);
 }
 
@@ -537,8 +544,11 @@
   snprintf (roster->self, sizeof roster->self, "%s %llu", roster->host,
             (unsigned long long)rng_u64 (kernel_rng (module->kernel)));
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
-  roster->mirror
-      = mirror_new (module->kernel, roster->store, NOW_PREFIX, 0, &events);
+  struct mirror_options options = { .kernel = module->kernel,
+                                    .port = roster->store,
+                                    .prefix = NOW_PREFIX,
+                                    .retry_ms = MIRROR_RETRY_LAST_MS };
+  roster->mirror = mirror_new (&options, &events);
   roster->host_lease
       = lease_new (module->kernel, roster->store, "host_lease",
                    ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
@@ -587,6 +597,8 @@
   roster->base.ops = &roster_ops;
   roster->base.name = "roster";
   roster->store = options->store;
+  roster->regained = options->regained;
+  roster->arg = options->arg;
   text_copy (roster->host, sizeof roster->host, options->host);
   text_copy (roster->zone, sizeof roster->zone, options->zone);
   return roster;
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -48,6 +48,9 @@
   struct platform_port *store;
   const char *host;
   const char *zone;
+  /* Called when the store answers again.  */
+  void (*regained) (void *arg);
+  void *arg;
 };
 
 struct roster;
