--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 STANDIN_SRC := $(wildcard tests/standin/standin_*.c)
 UNIT_SRC := $(wildcard tests/unit/test_*.c)
 HARNESS_SRC := $(wildcard tests/fuzz/sim_*.c)
+FLEET_SRC := $(wildcard tests/fleet/fleet_*.c)
 LOAD_SRC := $(wildcard bench/load_*.c)
 BENCH_SRC := $(wildcard bench/bench_*.c)
 
@@ -75,7 +76,7 @@
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ $(ALL_LIBS)
 
-$(UNIT_BIN): $(BUILD)/%: $(BUILD)/tests/unit/%.o $(call obj,$(HARNESS_SRC) $(LOAD_SRC)) $(LIB)
+$(UNIT_BIN): $(BUILD)/%: $(BUILD)/tests/unit/%.o $(call obj,$(HARNESS_SRC) $(FLEET_SRC) $(LOAD_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ -lcheck -lsubunit -lpthread -lrt $(ALL_LIBS)
 
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -23,11 +23,11 @@
 
 enum setting_type
 {
-  SETTING_NAME,    /* letters, digits, '.', '_' and '-' */
-  SETTING_TEXT,    /* any text, such as the path of a file */
-  SETTING_ADDRESS, /* IP number */
+  SETTING_NAME,     /* letters, digits, '.', '_' and '-' */
+  SETTING_TEXT,     /* any text, such as the path of a file */
+  SETTING_ADDRESS,  /* IP number */
   SETTING_ENDPOINT, /* IP number and port, ADDRESS:PORT */
-  SETTING_HASH,    /* secret_hash of the configuration */
+  SETTING_HASH,     /* secret_hash of the configuration */
   SETTING_NUMBER,
   SETTING_CHOICE, /* one of some words */
   SETTING_SEEDS,  /* NAME=ADDRESS:PORT,... */
--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -213,9 +213,9 @@
   struct evbuffer *body = evhttp_request_get_input_buffer (http);
   struct evkeyvalq *headers = evhttp_request_get_input_headers (http);
   conn->consul->codec->parse (&answer, call->kind, code,
-                       evhttp_find_header (headers, "X-Consul-Index"),
-                       (const char *)evbuffer_pullup (body, -1),
-                       evbuffer_get_length (body));
+                              evhttp_find_header (headers, "X-Consul-Index"),
+                              (const char *)evbuffer_pullup (body, -1),
+                              evbuffer_get_length (body));
   finish (call, &answer.reply);
   kv_answer_clear (&answer);
 }
@@ -282,8 +282,8 @@
   enum evhttp_cmd_type type = verbs[call->request.verb];
   if (evhttp_make_request (conn->http, http, type, call->request.uri) == 0)
     {
-      address_set_keepalive (bufferevent_getfd (
-          evhttp_connection_get_bufferevent (conn->http)));
+      address_set_keepalive (
+          bufferevent_getfd (evhttp_connection_get_bufferevent (conn->http)));
       return;
     }
   HASH_FIND (hh, self->calls, &id, sizeof id, call);
--- a/src/port/consul_answer.c
+++ b/src/port/consul_answer.c
@@ -153,14 +153,13 @@
     return PLATFORM_UNAVAILABLE;
   if (code >= HTTP_SERVER_ERROR_CODE)
     return kv_lost_status (kind);
-  return code > HTTP_OK_CODE + 99 ? PLATFORM_REJECTED
-                                  : kv_lost_status (kind);
+  return code > HTTP_OK_CODE + 99 ? PLATFORM_REJECTED : kv_lost_status (kind);
 }
 
 void
-consul_answer_parse (struct kv_answer *answer,
-                     enum platform_call_kind kind, int code, const char *index,
-                     const char *body, size_t length)
+consul_answer_parse (struct kv_answer *answer, enum platform_call_kind kind,
+                     int code, const char *index, const char *body,
+                     size_t length)
 {
   *answer = (struct kv_answer){ 0 };
   if (index != NULL)
--- a/src/port/kv_codec.h
+++ b/src/port/kv_codec.h
@@ -56,8 +56,7 @@
   /* Fills ANSWER from an HTTP response to a call of KIND.  A body that can't
      be understood counts as no answer.  */
   void (*parse) (struct kv_answer *answer, enum platform_call_kind kind,
-                 int code, const char *index, const char *body,
-                 size_t length);
+                 int code, const char *index, const char *body, size_t length);
 };
 
 #endif
--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -16,12 +16,12 @@
 
 enum platform_call_kind
 {
-  PLATFORM_GET,    /* one key; waits for index > wait_index if wait_ms */
-  PLATFORM_LIST,   /* all keys below a prefix, likewise */
-  PLATFORM_WRITE,  /* all writes or none, each compare-and-swap */
-  PLATFORM_HOSTS,  /* the list of hosts; waits likewise */
-  PLATFORM_LEASE,  /* creates a lease of ttl_ms */
-  PLATFORM_RENEW,  /* extends lease */
+  PLATFORM_GET,     /* one key; waits for index > wait_index if wait_ms */
+  PLATFORM_LIST,    /* all keys below a prefix, likewise */
+  PLATFORM_WRITE,   /* all writes or none, each compare-and-swap */
+  PLATFORM_HOSTS,   /* the list of hosts; waits likewise */
+  PLATFORM_LEASE,   /* creates a lease of ttl_ms */
+  PLATFORM_RENEW,   /* extends lease */
   PLATFORM_RELEASE, /* ends lease */
   PLATFORM_WATCH    /* changes below a prefix after wait_index */
 };
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -160,9 +160,8 @@
 note_refused (struct backend *backend)
 {
   bool was_usable = backend_usable (backend);
-  clk_ms wait_ms = BACKEND_RETRY_FIRST_MS << (backend->failures < 5
-                                                  ? backend->failures
-                                                  : 5);
+  clk_ms wait_ms = BACKEND_RETRY_FIRST_MS
+                   << (backend->failures < 5 ? backend->failures : 5);
   if (wait_ms > BACKEND_RETRY_LAST_MS)
     wait_ms = BACKEND_RETRY_LAST_MS;
   backend->failures++;
@@ -385,8 +384,7 @@
 backend_take (struct backend *backend, struct conn_user *user)
 {
   struct backend_conn *conn = NULL;
-  if (backend->waiters == NULL
-      || backend->waiters->priority > user->priority)
+  if (backend->waiters == NULL || backend->waiters->priority > user->priority)
     conn = best_idle (backend, user->values_hash);
   if (conn != NULL)
     {
@@ -819,9 +817,9 @@
       send_reset (conn);
       send_values (conn, values);
     }
-  conn_send (
-      conn, STEP_SETUP,
-      &(struct statement){ .kind = kind, .name = name, .rest = shape }, NULL);
+  conn_send (conn, STEP_SETUP,
+             &(struct statement){ .kind = kind, .name = name, .rest = shape },
+             NULL);
   if (conn->statement_count < BACKEND_STATEMENTS)
     conn->statements[conn->statement_count++] = mem_strdup (name);
   return true;
@@ -831,10 +829,10 @@
 conn_set_value (struct backend_conn *conn, const struct values *values,
                 const char *name, const char *value)
 {
-  conn_send (conn, STEP_SETUP,
-             &(struct statement){
-                 .kind = STMT_SET, .name = name, .rest = value },
-             NULL);
+  conn_send (
+      conn, STEP_SETUP,
+      &(struct statement){ .kind = STMT_SET, .name = name, .rest = value },
+      NULL);
   conn->values_hash = values->hash;
 }
 
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -90,8 +90,8 @@
      silence, was seen.  */
   void (*changed) (void *arg, struct backend *backend);
   /* A plain BEGIN sent at ASKED_MS was accepted with POSITION.  */
-  void (*proven) (void *arg, struct backend *backend,
-                  struct position position, clk_ms asked_ms);
+  void (*proven) (void *arg, struct backend *backend, struct position position,
+                  clk_ms asked_ms);
   /* It was refused: the instance does not lead.  */
   void (*refuted) (void *arg, struct backend *backend);
   void *arg;
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -1,5 +1,6 @@
 #include "proxy/caller.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -40,8 +41,8 @@
   bool ok = answer->code == CODE_OK;
   if (ok && run->attempts <= 1)
     return; /* plain successes are summed by the metrics */
-  log_event (kernel_log (kernel), LOG_INFO, "answer",
-             LOG_S ("id", run->id), LOG_S ("database", caller->database),
+  log_event (kernel_log (kernel), LOG_INFO, "answer", LOG_S ("id", run->id),
+             LOG_S ("database", caller->database),
              LOG_S ("code", code_name (answer->code)),
              LOG_S ("why", answer->text), LOG_U ("attempts", run->attempts),
              LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms),
@@ -55,9 +56,9 @@
   struct answer out = *answer;
   out.state = caller->tx;
   log_answer (caller, answer);
-  char name[64] = "statements_total{code=\"";
-  strncat (name, code_name (answer->code), 20);
-  strcat (name, "\"}");
+  char name[64];
+  snprintf (name, sizeof name, "statements_total{code=\"%s\"}",
+            code_name (answer->code));
   metrics_count (kernel_metrics (kernel), name);
   kernel_timer_cancel (kernel, &caller->deadline);
   kernel_timer_cancel (kernel, &caller->again);
@@ -93,9 +94,9 @@
     {
       if (caller->prepared_count == CALLER_PREPARED_LIMIT)
         return CODE_TOOLARGE;
-      caller->prepared = mem_resize (caller->prepared,
-                                     (caller->prepared_count + 1)
-                                         * sizeof *caller->prepared);
+      caller->prepared
+          = mem_resize (caller->prepared, (caller->prepared_count + 1)
+                                              * sizeof *caller->prepared);
       prepared = &caller->prepared[caller->prepared_count++];
       *prepared = (struct prepared){ .name = mem_strdup (statement->name) };
     }
@@ -339,8 +340,7 @@
 callers_start (struct module *module)
 {
   struct callers *callers = (struct callers *)module;
-  callers->catalog
-      = (struct catalog *)kernel_find (module->kernel, "catalog");
+  callers->catalog = (struct catalog *)kernel_find (module->kernel, "catalog");
   callers->groups = (struct groups *)kernel_find (module->kernel, "groups");
 }
 
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -66,7 +66,7 @@
   bool tx_untold; /* ended between statements: the next one tells */
   clk_ms tx_begun_ms;
   struct route tx_route;
-  struct position own; /* of the session's last commit */
+  struct position own;       /* of the session's last commit */
   struct backend_conn *conn; /* owned: running, or pinned by tx */
   struct conn_user user;
   struct group_waiter waiter;
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -234,8 +234,8 @@
   struct run_request *run = &caller->run;
   clk_ms since_ms
       = in_transaction (caller) ? caller->tx_begun_ms : run->arrived_ms;
-  clk_ms not_before_ms = since_ms - run->route.max_staleness_ms
-                         + CALLER_STALENESS_MARGIN_MS;
+  clk_ms not_before_ms
+      = since_ms - run->route.max_staleness_ms + CALLER_STALENESS_MARGIN_MS;
   /* Commits of the same caller's earlier connections, on any host, precede
      this session.  */
   if (run->route.kind == ROUTE_SESSION && caller->opened_ms > not_before_ms)
@@ -278,7 +278,7 @@
       return;
     }
   struct backend *backend
-      = group_pick (group, run->floor, (const char(*)[NAME_BYTES])run->tried,
+      = group_pick (group, run->floor, (const char (*)[NAME_BYTES])run->tried,
                     run->tried_count);
   if (backend != NULL)
     {
@@ -348,10 +348,10 @@
   struct run_request *run = &caller->run;
   bool plain = needs_leader (caller);
   run->begin_sent_ms = caller_now (caller);
-  conn_send (caller->conn, STEP_BEGIN,
-             &(struct statement){ .kind
-                                  = plain ? STMT_BEGIN : STMT_BEGIN_READ },
-             plain ? NULL : &run->floor);
+  conn_send (
+      caller->conn, STEP_BEGIN,
+      &(struct statement){ .kind = plain ? STMT_BEGIN : STMT_BEGIN_READ },
+      plain ? NULL : &run->floor);
 }
 
 /* Brings CONN to where the statement can be sent, and sends it.  */
@@ -567,9 +567,8 @@
     retry (caller, CODE_BUSY);
 }
 
-static const struct conn_user_ops user_ops = { .granted = on_granted,
-                                               .answered = on_answered,
-                                               .lost = on_lost };
+static const struct conn_user_ops user_ops
+    = { .granted = on_granted, .answered = on_answered, .lost = on_lost };
 
 static void
 on_again (void *arg)
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -94,15 +94,15 @@
   group->leader = leader;
   if (leader == NULL)
     group->leaderless_ms = now_ms (group);
-  log_event (kernel_log (group->groups->base.kernel), LOG_NOTICE, "primary",
-             LOG_S ("group", group->settings.name),
-             LOG_S ("instance", leader ? backend_entry (leader)->id : NULL),
-             LOG_S ("before", before ? backend_entry (before)->id : NULL),
-             LOG_S ("why", why),
-             LOG_I ("leaderless_ms", leader != NULL && before == NULL
-                                         ? now_ms (group)
-                                               - group->leaderless_ms
-                                         : 0));
+  log_event (
+      kernel_log (group->groups->base.kernel), LOG_NOTICE, "primary",
+      LOG_S ("group", group->settings.name),
+      LOG_S ("instance", leader ? backend_entry (leader)->id : NULL),
+      LOG_S ("before", before ? backend_entry (before)->id : NULL),
+      LOG_S ("why", why),
+      LOG_I ("leaderless_ms", leader != NULL && before == NULL
+                                  ? now_ms (group) - group->leaderless_ms
+                                  : 0));
   if (leader == NULL)
     tick_soon (group->groups);
 }
@@ -193,8 +193,8 @@
                                      .refuted = on_refuted };
   if (group->count == GROUP_INSTANCES)
     {
-      log_event (kernel_log (options.kernel), LOG_WARNING,
-                 "instance_ignored", LOG_S ("instance", entry->id),
+      log_event (kernel_log (options.kernel), LOG_WARNING, "instance_ignored",
+                 LOG_S ("instance", entry->id),
                  LOG_S ("why", "too many in its group"));
       return;
     }
@@ -327,6 +327,14 @@
     }
 }
 
+void
+group_doubt_leader (struct group *group)
+{
+  if (group->leader != NULL
+      && now_ms (group) - backend_heard_ms (group->leader) >= GROUP_WATCH_MS)
+    backend_probe (group->leader);
+}
+
 /* Looks for the instance that leads, or after the one that does.  */
 static void
 tend_leader (struct group *group)
@@ -345,6 +353,19 @@
     backend_probe (group->leader);
 }
 
+/* Asks the instances that were silent for too long.  */
+static void
+check_instances (struct group *group)
+{
+  for (size_t i = 0; i < group->count; i++)
+    {
+      struct backend *backend = group->instances[i]->backend;
+      backend_check (backend);
+      if (now_ms (group) - backend_heard_ms (backend) >= GROUP_IDLE_MS)
+        backend_probe (backend);
+    }
+}
+
 /* Another failure domain, and its instances.  */
 struct other_domain
 {
@@ -412,8 +433,7 @@
   HASH_ITER (hh, groups->table, group, next)
   {
     drop_gone (group);
-    for (size_t i = 0; i < group->count; i++)
-      backend_check (group->instances[i]->backend);
+    check_instances (group);
     tend_leader (group);
     if (group->leader == NULL && group->count > 0)
       span_ms = GROUP_SEARCH_MS;
@@ -583,8 +603,8 @@
       if (backend_entry (backend)->draining && backend != group->leader)
         continue;
       /* Hosts that know the same must not all choose the same.  */
-      double cost = read_cost (group, instance, floor)
-                    * (0.9 + 0.2 * rng_unit (rng));
+      double cost
+          = read_cost (group, instance, floor) * (0.9 + 0.2 * rng_unit (rng));
       if (best == NULL || cost < best_cost)
         {
           best = backend;
@@ -609,18 +629,23 @@
   tick_soon (groups);
 }
 
+static void
+group_free (struct group *group)
+{
+  while (group->count > 0)
+    remove_instance (group, group->instances[0]);
+  free (group);
+}
+
 static void
 groups_free (struct module *module)
 {
   struct groups *groups = (struct groups *)module;
   struct group *group, *next;
-  kernel_timer_cancel (module->kernel, &groups->tick);
   HASH_ITER (hh, groups->table, group, next)
   {
-    while (group->count > 0)
-      remove_instance (group, group->instances[0]);
     HASH_DEL (groups->table, group);
-    free (group);
+    group_free (group);
   }
   kernel_timer_cancel (module->kernel, &groups->tick);
   free (groups);
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -22,10 +22,13 @@
 /* The newest sample of a group in use is never older than this.  */
 #define GROUP_SAMPLE_MS 300
 
-/* How long a primary may be silent until the host that watches over it
-   asks.  */
+/* How long a primary may be silent until it is asked, by the host that
+   watches over it, and by all while one of them reports it.  */
 #define GROUP_WATCH_MS 200
 
+/* How long any instance may be silent until it is asked.  */
+#define GROUP_IDLE_MS 1000
+
 /* A group without a read for this long is not sampled.  */
 #define GROUP_IN_USE_MS 5000
 
@@ -123,6 +126,9 @@
                    struct position position, clk_ms asked_ms);
 /* Notes that BACKEND refused as it does not lead.  */
 void group_refuted (struct group *group, struct backend *backend);
+/* Another host reports that it can't reach the primary: asks it soon.  */
+void group_doubt_leader (struct group *group);
+
 /* Notes that BACKEND's log lacked a position.  */
 void group_behind (struct group *group, struct backend *backend);
 
--- a/src/proxy/inquiry.c
+++ b/src/proxy/inquiry.c
@@ -48,10 +48,10 @@
   struct inquiry_user *user = (struct inquiry_user *)base;
   struct inquiry *inquiry = user->inquiry;
   user->conn = conn;
-  conn_send (conn, STEP_MAIN,
-             &(struct statement){ .kind = inquiry->kind,
-                                  .term = inquiry->term },
-             NULL);
+  conn_send (
+      conn, STEP_MAIN,
+      &(struct statement){ .kind = inquiry->kind, .term = inquiry->term },
+      NULL);
 }
 
 static void
@@ -65,9 +65,8 @@
   if (!row->answered && answer->code == CODE_BUSY && answer->has_position
       && user->inquiry->kind == STMT_STATUS)
     {
-      row->status = (struct instance_status){
-        .term = answer->position.term, .received = answer->position
-      };
+      row->status = (struct instance_status){ .term = answer->position.term,
+                                              .received = answer->position };
       row->answered = true;
     }
   user->conn = NULL;
@@ -83,9 +82,8 @@
   end_user (user);
 }
 
-static const struct conn_user_ops user_ops = { .granted = on_granted,
-                                               .answered = on_answered,
-                                               .lost = on_lost };
+static const struct conn_user_ops user_ops
+    = { .granted = on_granted, .answered = on_answered, .lost = on_lost };
 
 static void
 release (struct inquiry *inquiry)
--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -174,8 +174,7 @@
 bool
 lease_valid (const struct lease *lease)
 {
-  return lease->id[0] != '\0'
-         && kernel_now (lease->kernel) < lease->until_ms;
+  return lease->id[0] != '\0' && kernel_now (lease->kernel) < lease->until_ms;
 }
 
 const char *
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -46,8 +46,8 @@
   if (wait_ms > mirror->retry_ms)
     wait_ms = mirror->retry_ms;
   mirror->failures++;
-  wait_ms += (clk_ms)rng_below (kernel_rng (mirror->kernel),
-                                (uint64_t)wait_ms);
+  wait_ms
+      += (clk_ms)rng_below (kernel_rng (mirror->kernel), (uint64_t)wait_ms);
   kernel_timer_set (mirror->kernel, &mirror->retry,
                     kernel_now (mirror->kernel) + wait_ms);
 }
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -34,9 +34,9 @@
   struct position final; /* of the old primary, in a hand-over */
   clk_ms started_ms;
   clk_ms stage_ms;
-  clk_ms next_ms; /* earliest start of the next change */
-  clk_ms silent_ms;    /* since when the holder can't reach it */
-  clk_ms reported_ms;  /* since when a part of the hosts can't */
+  clk_ms next_ms;     /* earliest start of the next change */
+  clk_ms silent_ms;   /* since when the holder can't reach it */
+  clk_ms reported_ms; /* since when a part of the hosts can't */
   uint64_t token;
   struct inquiry *inquiry;
   UT_hash_handle hh;
@@ -79,8 +79,7 @@
   log_event (kernel_log (change->promoter->base.kernel), LOG_NOTICE, event,
              LOG_S ("group", change->group), LOG_S ("what", what),
              LOG_S ("why", change->why), LOG_S ("old", change->old),
-             LOG_S ("chosen", change->chosen),
-             LOG_U ("token", change->token),
+             LOG_S ("chosen", change->chosen), LOG_U ("token", change->token),
              LOG_I ("spent_ms", now_ms (change) - change->started_ms));
 }
 
@@ -99,11 +98,10 @@
 {
   struct change *change = arg;
   struct promoter *promoter = change->promoter;
-  static const char *const names[]
-      = { [PROMOTE_ACCEPTED] = "accepted",
-          [PROMOTE_REFUSED] = "refused",
-          [PROMOTE_NOT_DONE] = "not_done",
-          [PROMOTE_UNKNOWN] = "unknown" };
+  static const char *const names[] = { [PROMOTE_ACCEPTED] = "accepted",
+                                       [PROMOTE_REFUSED] = "refused",
+                                       [PROMOTE_NOT_DONE] = "not_done",
+                                       [PROMOTE_UNKNOWN] = "unknown" };
   log_change (change, "promotion_answer", names[result]);
   if (change->stage != CHANGE_ORDERED)
     return;
@@ -115,7 +113,7 @@
       break;
     case PROMOTE_REFUSED:
       /* The token is outdated, or the instance is gone.  */
-      stop_change (change, "refused", 2 * PROMOTER_RETRY_MS);
+      stop_change (change, "refused", PROMOTER_RETRY_MS);
       roster_yield (promoter->roster, "refused by the platform");
       break;
     default:
@@ -142,9 +140,8 @@
   metrics_count (kernel_metrics (promoter->base.kernel),
                  "promotions_ordered_total");
   promoter->options.port->ops->promote (promoter->options.port, change->group,
-                                        change->chosen,
-                                        promoter->options.host, token,
-                                        on_promoted, change);
+                                        change->chosen, promoter->options.host,
+                                        token, on_promoted, change);
 }
 
 static void
@@ -245,10 +242,10 @@
     }
   bool pause = !change->hand_over && group_settings (group)->sync_replicas > 0;
   uint64_t term = samples_newest (group_samples (group)).term + 1;
-  change->inquiry = inquiry_new (
-      promoter->base.kernel, promoter->options.parse_status, count, candidates,
-      pause ? STMT_PAUSE : STMT_STATUS, term, PROMOTER_ASK_MS, on_positions,
-      change);
+  change->inquiry
+      = inquiry_new (promoter->base.kernel, promoter->options.parse_status,
+                     count, candidates, pause ? STMT_PAUSE : STMT_STATUS, term,
+                     PROMOTER_ASK_MS, on_positions, change);
 }
 
 static void
@@ -258,8 +255,7 @@
   change->inquiry = NULL;
   if (count != 1 || !rows[0].answered || rows[0].status.is_primary)
     {
-      stop_change (change, "the primary did not step down",
-                   PROMOTER_RETRY_MS);
+      stop_change (change, "the primary did not step down", PROMOTER_RETRY_MS);
       return;
     }
   change->final = rows[0].status.received;
@@ -288,10 +284,9 @@
     }
   set_stage (change, CHANGE_STEPPING_DOWN);
   uint64_t term = samples_newest (group_samples (group)).term + 1;
-  change->inquiry
-      = inquiry_new (promoter->base.kernel, promoter->options.parse_status, 1,
-                     &old, STMT_STEPDOWN, term, PROMOTER_ASK_MS,
-                     on_stepped_down, change);
+  change->inquiry = inquiry_new (
+      promoter->base.kernel, promoter->options.parse_status, 1, &old,
+      STMT_STEPDOWN, term, PROMOTER_ASK_MS, on_stepped_down, change);
 }
 
 /* Whether another instance than OLD may be promoted now.  */
@@ -312,9 +307,8 @@
 consider_hand_over (struct change *change, struct group *group,
                     struct backend *leader)
 {
-  struct roster_view view
-      = roster_reports (change->promoter->roster, change->group,
-                        backend_entry (leader)->id);
+  struct roster_view view = roster_reports (
+      change->promoter->roster, change->group, backend_entry (leader)->id);
   change->silent_ms = CLK_NEVER;
   if (3 * view.hosts_reporting < view.hosts || view.hosts_reporting == 0)
     change->reported_ms = CLK_NEVER;
@@ -337,8 +331,8 @@
                    struct backend *leader)
 {
   struct roster *roster = change->promoter->roster;
-  struct roster_view view = roster_reports (roster, change->group,
-                                            backend_entry (leader)->id);
+  struct roster_view view
+      = roster_reports (roster, change->group, backend_entry (leader)->id);
   if (change->silent_ms == CLK_NEVER)
     change->silent_ms = now_ms (change);
   if (2 * view.domains_reporting > view.domains)
@@ -414,6 +408,12 @@
   uint64_t token;
   roster_report (promoter->roster, group_name (group),
                  unreachable ? backend_entry (leader)->id : NULL);
+  if (leader != NULL
+      && roster_reports (promoter->roster, group_name (group),
+                         backend_entry (leader)->id)
+                 .hosts_reporting
+             > 0)
+    group_doubt_leader (group);
   if (roster_holds (promoter->roster, &token))
     watch_group (change, group);
   else if (change->stage != CHANGE_NONE && change->stage != CHANGE_ORDERED)
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -97,13 +97,13 @@
 write_key (struct roster *roster, const struct lease *lease, const char *key,
            const char *value, uint64_t expected, platform_done done, void *arg)
 {
-  struct platform_write write = { .key = key,
-                                  .value = value != NULL ? value : "",
-                                  .value_bytes
-                                  = value != NULL ? strlen (value) : 0,
-                                  .expect_index = expected,
-                                  .lease = lease_id (lease),
-                                  .erase = value == NULL };
+  struct platform_write write
+      = { .key = key,
+          .value = value != NULL ? value : "",
+          .value_bytes = value != NULL ? strlen (value) : 0,
+          .expect_index = expected,
+          .lease = lease_id (lease),
+          .erase = value == NULL };
   struct platform_call call = { .kind = PLATFORM_WRITE,
                                 .purpose = "roster",
                                 .timeout_ms = ROSTER_CALL_TIMEOUT_MS,
@@ -295,8 +295,7 @@
   for (size_t i = 0; i < roster->domain_count; i++)
     {
       const struct roster_domain *domain = &roster->domains[i];
-      size_t reports
-          = count_reports (roster, prefix, instance, domain->name);
+      size_t reports = count_reports (roster, prefix, instance, domain->name);
       view.hosts += domain->hosts;
       view.hosts_reporting += reports;
       view.domains_reporting += 2 * reports >= domain->hosts;
@@ -323,9 +322,8 @@
   struct kernel *kernel = roster->base.kernel;
   if (roster->claim.slot != 0)
     return;
-  clk_ms due_ms
-      = kernel_now (kernel)
-        + (clk_ms)rng_below (kernel_rng (kernel), ROSTER_SPREAD_MS);
+  clk_ms due_ms = kernel_now (kernel)
+                  + (clk_ms)rng_below (kernel_rng (kernel), ROSTER_SPREAD_MS);
   if (due_ms < roster->yield_until_ms)
     due_ms = roster->yield_until_ms;
   kernel_timer_set (kernel, &roster->claim, due_ms);
@@ -364,8 +362,7 @@
 on_claim (void *arg)
 {
   struct roster *roster = arg;
-  if (roster->leaving || roster->duty_call
-      || !mirror_complete (roster->mirror)
+  if (roster->leaving || roster->duty_call || !mirror_complete (roster->mirror)
       || find_key (roster, DUTY_KEY) != NULL)
     return;
   if (!mirror_reached (roster->mirror))
@@ -549,14 +546,12 @@
                                     .prefix = NOW_PREFIX,
                                     .retry_ms = MIRROR_RETRY_LAST_MS };
   roster->mirror = mirror_new (&options, &events);
-  roster->host_lease
-      = lease_new (module->kernel, roster->store, "host_lease",
-                   ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
-                   host_lease_gained, roster);
-  roster->duty_lease
-      = lease_new (module->kernel, roster->store, "duty_lease",
-                   ROSTER_DUTY_LEASE_MS, ROSTER_DUTY_RENEW_MS,
-                   duty_lease_gained, roster);
+  roster->host_lease = lease_new (module->kernel, roster->store, "host_lease",
+                                  ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
+                                  host_lease_gained, roster);
+  roster->duty_lease = lease_new (module->kernel, roster->store, "duty_lease",
+                                  ROSTER_DUTY_LEASE_MS, ROSTER_DUTY_RENEW_MS,
+                                  duty_lease_gained, roster);
   roster->count = (struct ktimer){ .fire = on_count, .arg = roster };
   roster->claim = (struct ktimer){ .fire = on_claim, .arg = roster };
   mirror_start (roster->mirror);
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -29,7 +29,7 @@
 
 /* Hosts are counted after the first span, for those that start together, and
    then every second one.  */
-#define ROSTER_COUNT_FIRST_MS 3000
+#define ROSTER_COUNT_FIRST_MS 1000
 #define ROSTER_COUNT_MS 15000
 
 #define ROSTER_CALL_TIMEOUT_MS 700
--- a/src/proxy/samples.c
+++ b/src/proxy/samples.c
@@ -10,7 +10,7 @@
 
 void
 samples_note (struct samples *samples, struct position position,
-                clk_ms asked_ms)
+              clk_ms asked_ms)
 {
   if (samples->count > 0)
     {
@@ -20,11 +20,9 @@
         return;
       /* The slot of the newest moves on until a step has passed since the
          one before it, so that samples stay spread over time.  */
-      size_t before = (samples->last + SAMPLES_KEPT - 1)
-                      % SAMPLES_KEPT;
+      size_t before = (samples->last + SAMPLES_KEPT - 1) % SAMPLES_KEPT;
       if (samples->count > 1
-          && asked_ms - samples->items[before].asked_ms
-                 < SAMPLES_STEP_MS)
+          && asked_ms - samples->items[before].asked_ms < SAMPLES_STEP_MS)
         {
           if (position_compare (position, last->position) >= 0)
             *last = (struct sample){ position, asked_ms };
@@ -34,13 +32,12 @@
     }
   if (samples->count < SAMPLES_KEPT)
     samples->count++;
-  samples->items[samples->last]
-      = (struct sample){ position, asked_ms };
+  samples->items[samples->last] = (struct sample){ position, asked_ms };
 }
 
 bool
 samples_floor (const struct samples *samples, clk_ms not_before_ms,
-                 struct position *position)
+               struct position *position)
 {
   if (samples->count == 0 || newest (samples)->asked_ms < not_before_ms)
     return false;
@@ -48,8 +45,7 @@
   for (size_t i = 1; i < samples->count; i++)
     {
       const struct sample *sample
-          = &samples->items[(samples->last + SAMPLES_KEPT - i)
-                                % SAMPLES_KEPT];
+          = &samples->items[(samples->last + SAMPLES_KEPT - i) % SAMPLES_KEPT];
       /* Positions of an older term may have been rolled back.  */
       if (sample->asked_ms < not_before_ms
           || sample->position.term != found->position.term)
@@ -70,5 +66,5 @@
 samples_newest (const struct samples *samples)
 {
   return samples->count > 0 ? newest (samples)->position
-                              : (struct position){ 0 };
+                            : (struct position){ 0 };
 }
--- a/src/proxy/samples.h
+++ b/src/proxy/samples.h
@@ -34,12 +34,12 @@
 
 /* Adds what a proven primary reported on a question sent at ASKED_MS.  */
 void samples_note (struct samples *samples, struct position position,
-                     clk_ms asked_ms);
+                   clk_ms asked_ms);
 
 /* Sets POSITION to the oldest sample asked at NOT_BEFORE_MS or later;
    returns false if there is none.  */
 bool samples_floor (const struct samples *samples, clk_ms not_before_ms,
-                      struct position *position);
+                    struct position *position);
 
 /* When the newest sample was asked for; CLK_LONG_AGO if there is none.  */
 clk_ms samples_newest_ms (const struct samples *samples);
--- a/src/proxy/values.c
+++ b/src/proxy/values.c
@@ -14,10 +14,10 @@
   for (size_t i = 0; i < values->count; i++)
     {
       const struct value *value = &values->items[i];
-      values->hash = XXH64 (value->name, strlen (value->name) + 1,
-                            values->hash);
-      values->hash = XXH64 (value->text, strlen (value->text) + 1,
-                            values->hash);
+      values->hash
+          = XXH64 (value->name, strlen (value->name) + 1, values->hash);
+      values->hash
+          = XXH64 (value->text, strlen (value->text) + 1, values->hash);
     }
   if (values->count > 0 && values->hash == 0)
     values->hash = 1;
@@ -46,8 +46,8 @@
     {
       if (values->count == VALUES_LIMIT)
         return false;
-      values->items = mem_resize (
-          values->items, (values->count + 1) * sizeof *values->items);
+      values->items = mem_resize (values->items,
+                                  (values->count + 1) * sizeof *values->items);
       memmove (&values->items[place + 1], &values->items[place],
                (values->count - place) * sizeof *values->items);
       values->items[place] = (struct value){ .name = mem_strdup (name) };
--- /dev/null
+++ b/tests/fleet/fleet_instance.c
@@ -0,0 +1,673 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "kernel/mem.h"
+#include "proxy/values.h"
+#include "tests/fleet/fleet.h"
+
+#define NET_MS 1
+#define WORK_MS 8
+#define DROPPED_MS 3000 /* a connection whose peer is unreachable */
+#define QUEUE 256
+#define TEXT_BYTES 256
+#define VALUES_BYTES 512
+#define STATEMENTS 128
+#define BODY_BYTES 1024
+
+struct sent
+{
+  enum stmt_kind kind;
+  char id[NAME_BYTES];
+  char text[TEXT_BYTES];
+  char name[TEXT_BYTES];
+  char rest[TEXT_BYTES];
+  uint64_t term;
+  bool has_after;
+  struct position after;
+};
+
+struct prepared_name
+{
+  char name[TEXT_BYTES];
+  char shape[TEXT_BYTES];
+  bool writes;
+};
+
+/* One connection.  It lives until both ends have let go of it.  */
+struct instance_link
+{
+  struct fleet *fleet;
+  struct fleet_host *host; /* NULL: closed by the host */
+  struct fleet_instance *instance;
+  const struct instance_events *events;
+  void *arg;
+  uint64_t serial;
+  bool counted;
+  bool dead;    /* the instance closed it */
+  bool running; /* a statement is on its way */
+  uint64_t steps;
+  size_t head;
+  size_t count;
+  struct sent queue[QUEUE];
+  enum tx_state state;
+  bool plain;
+  bool wrote;
+  bool lost_lead;
+  uint64_t tx;
+  struct values values;
+  size_t prepared_count;
+  struct prepared_name prepared[STATEMENTS];
+  struct answer answer; /* on its way back */
+  char body[BODY_BYTES];
+  bool lose_answer;
+};
+
+static bool
+is_cut (const struct instance_link *link)
+{
+  size_t index = (size_t)(link->instance - link->fleet->instances);
+  return link->instance->dark
+         || (link->host != NULL && link->host->cut[index]);
+}
+
+static void
+uncount (struct instance_link *link)
+{
+  if (link->counted)
+    link->instance->connections--;
+  link->counted = false;
+  link->state = TX_IDLE;
+}
+
+static void
+release (struct instance_link *link)
+{
+  if (link->host != NULL || link->steps > 0)
+    return;
+  uncount (link);
+  values_clear (&link->values);
+  free (link);
+}
+
+/* Steps of a link that are scheduled keep it alive.  */
+struct step
+{
+  struct instance_link *link;
+  void (*fn) (struct instance_link *link);
+};
+
+static void
+run_step (void *arg)
+{
+  struct step *step = arg;
+  struct instance_link *link = step->link;
+  void (*fn) (struct instance_link *) = step->fn;
+  free (step);
+  fn (link);
+  link->steps--;
+  release (link);
+}
+
+static void
+later (struct instance_link *link, clk_ms span_ms,
+       void (*fn) (struct instance_link *link))
+{
+  struct step *step = mem_zalloc (sizeof *step);
+  *step = (struct step){ link, fn };
+  link->steps++;
+  fleet_later (link->fleet, span_ms, run_step, step);
+}
+
+static void run_next (struct instance_link *link);
+
+static void
+deliver (struct instance_link *link)
+{
+  struct answer answer = link->answer;
+  link->running = false;
+  link->count--;
+  link->head = (link->head + 1) % QUEUE;
+  if (is_cut (link) || link->lose_answer || link->dead)
+    {
+      /* Nothing further comes over it.  */
+      link->dead = true;
+      return;
+    }
+  if (link->host == NULL)
+    return;
+  link->events->answer (link->arg, &answer);
+  run_next (link);
+}
+
+static void
+fail (struct instance_link *link, enum code code)
+{
+  link->answer.code = code;
+  link->answer.body = NULL;
+  link->answer.text = link->instance->id;
+  if (link->state == TX_OPEN)
+    link->state = TX_FAILED;
+}
+
+static void
+print_values (const struct values *values, char out[VALUES_BYTES])
+{
+  size_t used = 0;
+  out[0] = '\0';
+  for (size_t i = 0; i < values->count; i++)
+    used += (size_t)snprintf (out + used, VALUES_BYTES - used, "%s=%s;",
+                              values->items[i].name, values->items[i].text);
+}
+
+static bool
+chance (struct instance_link *link, uint32_t percent)
+{
+  return rng_below (&link->fleet->rng, 100) < percent;
+}
+
+/* What a replica has applied once its lag has passed.  */
+struct replication
+{
+  struct fleet_instance *replica;
+  struct position position;
+};
+
+static void
+apply (void *arg)
+{
+  struct replication *step = arg;
+  struct fleet_instance *replica = step->replica;
+  if (!replica->leads && replica->received.term == step->position.term
+      && position_compare (replica->applied, step->position) < 0
+      && position_compare (step->position, replica->received) <= 0)
+    replica->applied = step->position;
+  free (step);
+}
+
+static void
+receive (struct fleet_instance *replica, struct position position)
+{
+  struct replication *step = mem_zalloc (sizeof *step);
+  if (replica->deaf || replica->dark)
+    {
+      free (step);
+      return;
+    }
+  replica->received = position;
+  *step = (struct replication){ replica, position };
+  fleet_later (replica->fleet, replica->lag_ms, apply, step);
+}
+
+static struct position
+commit_position (struct instance_link *link)
+{
+  struct fleet_instance *leader = link->instance;
+  leader->applied.lsn++;
+  leader->received = leader->applied;
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    if (&link->fleet->instances[i] != leader
+        && !link->fleet->instances[i].leads)
+      receive (&link->fleet->instances[i], leader->applied);
+  return leader->applied;
+}
+
+static const struct prepared_name *
+find_prepared (const struct instance_link *link, const char *name)
+{
+  for (size_t i = 0; i < link->prepared_count; i++)
+    if (strcmp (link->prepared[i].name, name) == 0)
+      return &link->prepared[i];
+  return NULL;
+}
+
+/* Runs a read or write that was accepted.  */
+static void
+run_statement (struct instance_link *link, const struct sent *sent,
+               const char *text, bool writes)
+{
+  char values[VALUES_BYTES];
+  struct fleet_run_note note
+      = { .id = sent->id,
+          .text = text,
+          .link = link->serial,
+          .tx = link->state == TX_OPEN ? link->tx : 0,
+          .values = values,
+          .position = link->instance->applied };
+  print_values (&link->values, values);
+  oracle_ran (link->fleet, &note, writes);
+  if (writes && link->state == TX_OPEN)
+    link->wrote = true;
+  else if (writes)
+    oracle_single_write (link->fleet, sent->id, commit_position (link));
+  snprintf (link->body, sizeof link->body, "ROW %s\r\nCOMPLETE %s.%s\r\n",
+            text, link->instance->id, sent->id);
+  link->answer.body = link->body;
+  link->answer.body_bytes = strlen (link->body);
+  link->lose_answer = chance (link, link->instance->lost_percent);
+}
+
+static void
+do_statement (struct instance_link *link, const struct sent *sent)
+{
+  bool writes = sent->kind == STMT_WRITE;
+  char text[2 * TEXT_BYTES + 4];
+  snprintf (text, sizeof text, "%s", sent->text);
+  if (link->state == TX_FAILED)
+    {
+      link->answer.code = CODE_MALFORMED;
+      return;
+    }
+  if (sent->kind == STMT_EXECUTE)
+    {
+      const struct prepared_name *prepared = find_prepared (link, sent->name);
+      if (prepared == NULL)
+        {
+          fail (link, CODE_NOSTMT);
+          return;
+        }
+      writes = prepared->writes;
+      snprintf (text, sizeof text, "%s(%s)", prepared->shape, sent->rest);
+    }
+  if (link->lost_lead || (writes && !link->instance->leads))
+    fail (link, CODE_READONLY);
+  else if (sent->has_after
+           && position_compare (link->instance->applied, sent->after) < 0)
+    fail (link, CODE_LAGGING);
+  else if (chance (link, link->instance->busy_percent))
+    fail (link, CODE_BUSY);
+  else
+    run_statement (link, sent, text, writes);
+}
+
+static void
+do_begin (struct instance_link *link, const struct sent *sent)
+{
+  bool plain = sent->kind == STMT_BEGIN;
+  if (link->state != TX_IDLE)
+    fail (link, CODE_MALFORMED);
+  else if (plain && !link->instance->leads)
+    link->answer.code = CODE_READONLY;
+  else if (sent->has_after
+           && position_compare (link->instance->applied, sent->after) < 0)
+    link->answer.code = CODE_LAGGING;
+  else
+    {
+      link->state = TX_OPEN;
+      link->plain = plain;
+      link->wrote = false;
+      link->lost_lead = false;
+      link->tx = ++link->fleet->next_tx;
+    }
+}
+
+static void
+do_commit (struct instance_link *link, const struct sent *sent)
+{
+  if (link->state == TX_FAILED)
+    {
+      link->answer.code = CODE_ABORTED;
+      link->state = TX_IDLE;
+      return;
+    }
+  if (link->lost_lead && link->wrote)
+    {
+      link->answer.code = CODE_READONLY;
+      link->state = TX_IDLE;
+      return;
+    }
+  if (chance (link, link->instance->busy_percent))
+    {
+      /* Refused, it leaves the transaction open.  */
+      link->answer.code = CODE_BUSY;
+      return;
+    }
+  if (link->wrote)
+    oracle_committed (link->fleet, link->serial, link->tx, sent->id,
+                      commit_position (link));
+  link->state = TX_IDLE;
+  link->lose_answer = chance (link, link->instance->lost_percent);
+  snprintf (link->body, sizeof link->body, "COMPLETE %s.%s\r\n",
+            link->instance->id, sent->id);
+  link->answer.body = link->body;
+  link->answer.body_bytes = strlen (link->body);
+}
+
+static void
+do_prepare (struct instance_link *link, const struct sent *sent)
+{
+  if (link->prepared_count == STATEMENTS)
+    {
+      fail (link, CODE_FAILED);
+      return;
+    }
+  struct prepared_name *row = &link->prepared[link->prepared_count++];
+  memcpy (row->name, sent->name, TEXT_BYTES);
+  memcpy (row->shape, sent->rest, TEXT_BYTES);
+  row->writes = sent->kind == STMT_PREPARE_WRITE;
+}
+
+static void
+lose_lead (struct fleet_instance *instance)
+{
+  instance->leads = false;
+}
+
+static void
+do_stepdown (struct instance_link *link, const struct sent *sent)
+{
+  if (sent->term > link->instance->applied.term)
+    lose_lead (link->instance);
+}
+
+static void
+answer_status (struct instance_link *link)
+{
+  const struct fleet_instance *instance = link->instance;
+  snprintf (link->body, sizeof link->body,
+            "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 0\r\n",
+            instance->leads ? "primary" : "replica", instance->received.term,
+            instance->received.term, instance->received.lsn);
+  link->answer.body = link->body;
+  link->answer.body_bytes = strlen (link->body);
+}
+
+static void
+execute (struct instance_link *link)
+{
+  const struct sent *sent = &link->queue[link->head];
+  if (link->dead || is_cut (link))
+    {
+      link->dead = true;
+      link->running = false;
+      return;
+    }
+  link->answer = (struct answer){ .code = CODE_OK, .has_position = true };
+  link->lose_answer = false;
+  if (link->state == TX_OPEN && link->plain && !link->instance->leads)
+    link->lost_lead = true;
+  switch (sent->kind)
+    {
+    case STMT_BEGIN:
+    case STMT_BEGIN_READ:
+      do_begin (link, sent);
+      break;
+    case STMT_COMMIT:
+      do_commit (link, sent);
+      break;
+    case STMT_ROLLBACK:
+      link->state = TX_IDLE;
+      break;
+    case STMT_RESET:
+      values_clear (&link->values);
+      link->prepared_count = 0;
+      break;
+    case STMT_SET:
+      values_set (&link->values, sent->name, sent->rest);
+      break;
+    case STMT_PREPARE_READ:
+    case STMT_PREPARE_WRITE:
+      do_prepare (link, sent);
+      break;
+    case STMT_STEPDOWN:
+      do_stepdown (link, sent);
+      answer_status (link);
+      break;
+    case STMT_STATUS:
+    case STMT_PAUSE:
+    case STMT_RESUME:
+      answer_status (link);
+      break;
+    default:
+      do_statement (link, sent);
+    }
+  link->answer.state = link->state;
+  link->answer.position = link->instance->applied;
+  later (link, NET_MS, deliver);
+}
+
+static bool
+takes_slot (enum stmt_kind kind)
+{
+  return kind == STMT_READ || kind == STMT_WRITE || kind == STMT_EXECUTE
+         || kind == STMT_COMMIT || kind == STMT_STATUS;
+}
+
+static void
+run_next (struct instance_link *link)
+{
+  if (link->running || link->count == 0 || link->dead)
+    return;
+  link->running = true;
+  bool works = takes_slot (link->queue[link->head].kind);
+  later (link,
+         NET_MS
+             + (works ? (clk_ms)rng_below (&link->fleet->rng, 2 * WORK_MS)
+                      : 0),
+         execute);
+}
+
+static void
+report_closed (struct instance_link *link)
+{
+  const struct instance_events *events = link->events;
+  void *arg = link->arg;
+  enum code code = link->answer.code;
+  if (link->host == NULL)
+    return;
+  link->host = NULL;
+  events->closed (arg, code);
+}
+
+static void
+opened (struct instance_link *link)
+{
+  struct fleet_instance *instance = link->instance;
+  if (link->host == NULL || is_cut (link))
+    return; /* the packet got lost */
+  if (instance->connections >= instance->max_connections)
+    {
+      link->dead = true;
+      link->answer.code = CODE_TOOMANY;
+      report_closed (link);
+      return;
+    }
+  instance->connections++;
+  link->counted = true;
+  struct answer hello = { .code = CODE_OK,
+                          .has_position = true,
+                          .position = instance->applied };
+  link->events->opened (link->arg, &hello);
+}
+
+static struct instance_link *
+link_open (struct instance_port *port, const struct instance_target *target,
+           const struct instance_events *events, void *arg)
+{
+  struct fleet_host *host = (struct fleet_host *)(void *)((char *)port
+                                                          - offsetof (
+                                                              struct fleet_host,
+                                                              instances));
+  struct fleet *fleet = host->fleet;
+  struct instance_link *link = mem_zalloc (sizeof *link);
+  link->fleet = fleet;
+  link->host = host;
+  link->events = events;
+  link->arg = arg;
+  link->serial = ++fleet->next_link;
+  link->instance = &fleet->instances[target->port - 1000];
+  if (strcmp (link->instance->id, target->id) != 0
+      || strcmp (target->group, FLEET_GROUP) != 0)
+    fleet_break (fleet, "connected to %s under the id %s",
+                 link->instance->id, target->id);
+  later (link, 2 * NET_MS, opened);
+  return link;
+}
+
+static void
+copy_text (char *out, const char *text)
+{
+  snprintf (out, TEXT_BYTES, "%s", text != NULL ? text : "");
+}
+
+static void
+link_send (struct instance_port *port, struct instance_link *link,
+           const struct statement *statement, const struct position *after)
+{
+  struct sent *sent = &link->queue[(link->head + link->count) % QUEUE];
+  (void)port;
+  if (link->count == QUEUE)
+    abort ();
+  *sent = (struct sent){ .kind = statement->kind, .term = statement->term };
+  snprintf (sent->id, sizeof sent->id, "%s",
+            statement->id != NULL ? statement->id : "-");
+  copy_text (sent->text, statement->text);
+  copy_text (sent->name, statement->name);
+  copy_text (sent->rest, statement->rest);
+  sent->has_after = after != NULL;
+  if (after != NULL)
+    sent->after = *after;
+  link->count++;
+  run_next (link);
+}
+
+/* The instance notices that the host is gone.  */
+static void
+dropped (struct instance_link *link)
+{
+  link->dead = true;
+  uncount (link);
+}
+
+static void
+link_close (struct instance_port *port, struct instance_link *link)
+{
+  bool cut = is_cut (link);
+  (void)port;
+  link->host = NULL;
+  later (link, cut ? DROPPED_MS : NET_MS, dropped);
+}
+
+static const struct instance_port_ops instance_ops
+    = { .open = link_open, .send = link_send, .close = link_close };
+
+/* Promotion.  */
+
+struct order
+{
+  struct fleet_host *host;
+  struct fleet *fleet;
+  size_t instance;
+  uint64_t token;
+  promote_done done;
+  void *arg;
+  struct kernel *kernel;
+};
+
+static void
+take_lead (void *arg)
+{
+  struct order *order = arg;
+  struct fleet *fleet = order->fleet;
+  struct fleet_instance *chosen = &fleet->instances[order->instance];
+  struct fleet_instance *old = fleet_leader (fleet);
+  uint64_t term = chosen->received.term;
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    if (fleet->instances[i].received.term > term)
+      term = fleet->instances[i].received.term;
+  if (old != chosen && !chosen->dark)
+    {
+      if (old != NULL)
+        lose_lead (old);
+      oracle_rolled_back (fleet, chosen->received, term + 1);
+      chosen->leads = true;
+      chosen->applied = (struct position){ term + 1, chosen->received.lsn };
+      chosen->received = chosen->applied;
+      for (size_t i = 0; i < FLEET_INSTANCES; i++)
+        if (&fleet->instances[i] != chosen)
+          {
+            fleet->instances[i].applied = chosen->applied;
+            fleet->instances[i].received = chosen->applied;
+          }
+      fleet->promotions++;
+      fleet_publish (fleet);
+    }
+  free (order);
+}
+
+static void
+order_arrived (void *arg)
+{
+  struct order *order = arg;
+  struct fleet *fleet = order->fleet;
+  bool fenced = order->token < fleet->token;
+  bool alive
+      = order->host->running && order->host->kernel == order->kernel;
+  if (!fenced)
+    fleet->token = order->token;
+  if (fenced || fleet->instances[order->instance].dark)
+    {
+      if (alive)
+        order->done (order->arg, PROMOTE_REFUSED);
+      free (order);
+      return;
+    }
+  if (alive)
+    order->done (order->arg, PROMOTE_ACCEPTED);
+  fleet_later (fleet, FLEET_PROMOTE_MS, take_lead, order);
+}
+
+static void
+promote (struct promote_port *port, const char *group, const char *instance,
+         const char *holder, uint64_t token, promote_done done, void *arg)
+{
+  struct fleet_host *host = (struct fleet_host *)(void *)((char *)port
+                                                          - offsetof (
+                                                              struct fleet_host,
+                                                              promote));
+  struct order *order = mem_zalloc (sizeof *order);
+  (void)group;
+  (void)holder;
+  *order = (struct order){ .host = host,
+                           .fleet = host->fleet,
+                           .instance = (size_t)(instance[2] - '0'),
+                           .token = token,
+                           .done = done,
+                           .arg = arg,
+                           .kernel = host->kernel };
+  fleet_later (host->fleet, 5, order_arrived, order);
+}
+
+static const struct promote_port_ops promote_ops = { .promote = promote };
+
+void
+fleet_instance_ports (struct fleet_host *host)
+{
+  host->instances.ops = &instance_ops;
+  host->promote.ops = &promote_ops;
+}
+
+void
+fleet_links_forget (struct fleet_host *host)
+{
+  (void)host; /* kernel_free closes all links */
+}
+
+bool
+fleet_status_parse (struct instance_status *status,
+                    const struct answer *answer)
+{
+  char role[16];
+  if (answer->code != CODE_OK || answer->body == NULL)
+    return false;
+  *status = (struct instance_status){ 0 };
+  if (sscanf (answer->body, "ROW %15s %" SCNu64 " %" SCNu64 ".%" SCNu64, role,
+              &status->term, &status->received.term, &status->received.lsn)
+      != 4)
+    return false;
+  status->is_primary = strcmp (role, "primary") == 0;
+  return true;
+}
--- /dev/null
+++ b/tests/fleet/fleet_store.c
@@ -0,0 +1,523 @@
+#include "tests/fleet/fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "kernel/mem.h"
+
+#define CALL_MS 4
+#define KEY_BYTES 200
+#define VALUE_BYTES 160
+#define HISTORY 4096
+#define LEASE_BYTES 24
+
+struct store_key
+{
+  char name[KEY_BYTES];
+  char value[VALUE_BYTES];
+  uint64_t revision;
+  uint64_t created;
+  uint64_t lease;
+  UT_hash_handle hh;
+};
+
+struct store_event
+{
+  char name[KEY_BYTES];
+  char value[VALUE_BYTES];
+  uint64_t revision;
+  uint64_t created;
+  bool removed;
+};
+
+struct store_lease
+{
+  uint64_t id;
+  clk_ms ttl_ms;
+  clk_ms until_ms;
+  UT_hash_handle hh;
+};
+
+struct store_call
+{
+  struct fleet_host *host; /* NULL once the host or the call is gone */
+  struct fleet_store *store;
+  uint64_t id;
+  struct platform_call call;
+  char key[KEY_BYTES];
+  char value[VALUE_BYTES];
+  char lease[LEASE_BYTES];
+  struct platform_write write;
+  platform_done done;
+  void *arg;
+  bool waiting; /* a watch */
+  clk_ms until_ms;
+  struct store_call *prev;
+  struct store_call *next;
+};
+
+struct fleet_store
+{
+  struct fleet *fleet;
+  bool down;
+  uint64_t revision;
+  uint64_t forgotten; /* history up to here */
+  uint64_t next_call;
+  uint64_t next_lease;
+  uint64_t calls;
+  struct store_key *keys;
+  struct store_lease *leases;
+  size_t event_count;
+  struct store_event events[HISTORY];
+  struct store_call *list;
+};
+
+static void answer_watches (struct fleet_store *store);
+
+static void
+note_event (struct fleet_store *store, const struct store_key *key,
+            bool removed)
+{
+  struct store_event *event = &store->events[store->event_count % HISTORY];
+  memcpy (event->name, key->name, KEY_BYTES);
+  memcpy (event->value, key->value, VALUE_BYTES);
+  event->revision = store->revision;
+  event->created = key->created;
+  event->removed = removed;
+  store->event_count++;
+}
+
+static void
+remove_key (struct fleet_store *store, struct store_key *key)
+{
+  store->revision++;
+  note_event (store, key, true);
+  HASH_DEL (store->keys, key);
+  free (key);
+}
+
+static void
+end_lease (struct fleet_store *store, struct store_lease *lease)
+{
+  struct store_key *key, *next;
+  HASH_ITER (hh, store->keys, key, next)
+  if (key->lease == lease->id)
+    remove_key (store, key);
+  HASH_DEL (store->leases, lease);
+  free (lease);
+}
+
+static void
+check_leases (void *arg)
+{
+  struct fleet_store *store = arg;
+  struct store_lease *lease, *next;
+  HASH_ITER (hh, store->leases, lease, next)
+  if (lease->until_ms <= fleet_now (store->fleet) && !store->down)
+    end_lease (store, lease);
+  answer_watches (store);
+}
+
+static struct store_lease *
+find_lease (struct fleet_store *store, const char *text)
+{
+  uint64_t id = strtoull (text, NULL, 10);
+  struct store_lease *lease;
+  HASH_FIND (hh, store->leases, &id, sizeof id, lease);
+  return lease;
+}
+
+static void
+extend (struct fleet_store *store, struct store_lease *lease)
+{
+  lease->until_ms = fleet_now (store->fleet) + lease->ttl_ms;
+  fleet_later (store->fleet, lease->ttl_ms + 1, check_leases, store);
+}
+
+static void
+finish (struct store_call *call, const struct platform_reply *reply)
+{
+  platform_done done = call->done;
+  void *arg = call->arg;
+  bool wanted = call->host != NULL;
+  DL_DELETE (call->store->list, call);
+  free (call);
+  if (wanted)
+    done (arg, reply);
+}
+
+static void
+finish_status (struct store_call *call, enum platform_status status)
+{
+  finish (call, &(struct platform_reply){ .status = status });
+}
+
+static enum platform_status
+write_key (struct fleet_store *store, const struct platform_write *write,
+           uint64_t *index)
+{
+  struct store_key *key;
+  struct store_lease *lease = NULL;
+  HASH_FIND_STR (store->keys, write->key, key);
+  if ((key != NULL ? key->revision : 0) != write->expect_index)
+    return PLATFORM_CONFLICT;
+  if (!write->erase && write->lease != NULL
+      && (lease = find_lease (store, write->lease)) == NULL)
+    return PLATFORM_NOT_FOUND;
+  if (write->erase)
+    {
+      if (key != NULL)
+        remove_key (store, key);
+      *index = store->revision;
+      return PLATFORM_OK;
+    }
+  store->revision++;
+  if (key == NULL)
+    {
+      key = mem_zalloc (sizeof *key);
+      snprintf (key->name, KEY_BYTES, "%s", write->key);
+      key->created = store->revision;
+      HASH_ADD_STR (store->keys, name, key);
+    }
+  snprintf (key->value, VALUE_BYTES, "%s", write->value);
+  key->revision = store->revision;
+  key->lease = lease != NULL ? lease->id : 0;
+  note_event (store, key, false);
+  *index = store->revision;
+  return PLATFORM_OK;
+}
+
+static struct platform_item
+item_of (const struct store_key *key)
+{
+  return (struct platform_item){ .key = (char *)key->name,
+                                 .value = (char *)key->value,
+                                 .value_bytes = strlen (key->value),
+                                 .index = key->revision,
+                                 .created = key->created };
+}
+
+static void
+answer_list (struct store_call *call)
+{
+  struct fleet_store *store = call->store;
+  struct platform_item items[HISTORY];
+  struct platform_reply reply
+      = { .status = PLATFORM_OK, .index = store->revision, .items = items };
+  const struct store_key *key;
+  for (key = store->keys; key != NULL; key = key->hh.next)
+    if (strncmp (key->name, call->key, strlen (call->key)) == 0)
+      items[reply.item_count++] = item_of (key);
+  finish (call, &reply);
+}
+
+static void
+answer_get (struct store_call *call)
+{
+  struct store_key *key;
+  HASH_FIND_STR (call->store->keys, call->key, key);
+  if (key == NULL)
+    {
+      finish_status (call, PLATFORM_NOT_FOUND);
+      return;
+    }
+  struct platform_item item = item_of (key);
+  finish (call, &(struct platform_reply){ .status = PLATFORM_OK,
+                                          .index = call->store->revision,
+                                          .items = &item,
+                                          .item_count = 1 });
+}
+
+/* Answers a watch that has something to tell, or whose time is up.  */
+static bool
+answer_watch (struct store_call *call)
+{
+  struct fleet_store *store = call->store;
+  struct platform_item items[HISTORY];
+  struct platform_reply reply
+      = { .status = PLATFORM_OK, .index = store->revision, .items = items };
+  if (call->call.wait_index < store->forgotten)
+    {
+      finish_status (call, PLATFORM_COMPACTED);
+      return true;
+    }
+  size_t first
+      = store->event_count > HISTORY ? store->event_count - HISTORY : 0;
+  for (size_t i = first; i < store->event_count; i++)
+    {
+      struct store_event *event = &store->events[i % HISTORY];
+      if (event->revision <= call->call.wait_index
+          || strncmp (event->name, call->key, strlen (call->key)) != 0)
+        continue;
+      items[reply.item_count++]
+          = (struct platform_item){ .key = event->name,
+                                    .value = event->value,
+                                    .value_bytes = strlen (event->value),
+                                    .index = event->revision,
+                                    .created = event->created,
+                                    .removed = event->removed };
+    }
+  if (reply.item_count == 0 && fleet_now (store->fleet) < call->until_ms)
+    return false;
+  finish (call, &reply);
+  return true;
+}
+
+static bool
+is_served (const struct store_call *call)
+{
+  return !call->store->down
+         && (call->host == NULL || !call->host->store_cut);
+}
+
+static void
+answer_watches (struct fleet_store *store)
+{
+  bool again = true;
+  while (again)
+    {
+      struct store_call *call, *next;
+      again = false;
+      DL_FOREACH_SAFE (store->list, call, next)
+      if (call->waiting && is_served (call) && answer_watch (call))
+        {
+          again = true;
+          break; /* its callback may have changed the list */
+        }
+    }
+}
+
+static struct store_call *
+find_call (struct fleet_store *store, uint64_t id)
+{
+  struct store_call *call;
+  DL_FOREACH (store->list, call)
+  if (call->id == id)
+    return call;
+  return NULL;
+}
+
+struct late
+{
+  struct fleet_store *store;
+  uint64_t id;
+};
+
+static void
+call_expired (void *arg)
+{
+  struct late *late = arg;
+  struct store_call *call = find_call (late->store, late->id);
+  bool writes = call != NULL
+                && (call->call.kind == PLATFORM_WRITE
+                    || call->call.kind == PLATFORM_LEASE
+                    || call->call.kind == PLATFORM_RENEW);
+  if (call != NULL && call->waiting && is_served (call))
+    answer_watch (call);
+  else if (call != NULL)
+    finish_status (call, writes ? PLATFORM_LOST : PLATFORM_UNAVAILABLE);
+  free (late);
+}
+
+static void
+create_lease (struct store_call *call)
+{
+  struct fleet_store *store = call->store;
+  struct store_lease *lease = mem_zalloc (sizeof *lease);
+  char text[LEASE_BYTES];
+  lease->id = ++store->next_lease;
+  lease->ttl_ms = call->call.ttl_ms;
+  HASH_ADD (hh, store->leases, id, sizeof lease->id, lease);
+  extend (store, lease);
+  snprintf (text, sizeof text, "%llu", (unsigned long long)lease->id);
+  finish (call, &(struct platform_reply){ .status = PLATFORM_OK,
+                                          .lease = text });
+}
+
+static void
+run_call (struct store_call *call)
+{
+  struct fleet_store *store = call->store;
+  struct store_lease *lease = find_lease (store, call->lease);
+  struct platform_reply reply = { .status = PLATFORM_OK };
+  switch (call->call.kind)
+    {
+    case PLATFORM_GET:
+      answer_get (call);
+      return;
+    case PLATFORM_LIST:
+      answer_list (call);
+      return;
+    case PLATFORM_WATCH:
+      call->waiting = true;
+      answer_watch (call);
+      return;
+    case PLATFORM_WRITE:
+      reply.status = write_key (store, &call->write, &reply.index);
+      finish (call, &reply);
+      answer_watches (store);
+      return;
+    case PLATFORM_LEASE:
+      create_lease (call);
+      return;
+    case PLATFORM_RENEW:
+      if (lease != NULL)
+        extend (store, lease);
+      finish_status (call, lease != NULL ? PLATFORM_OK : PLATFORM_NOT_FOUND);
+      return;
+    default:
+      if (lease != NULL)
+        end_lease (store, lease);
+      finish_status (call, PLATFORM_OK);
+      answer_watches (store);
+    }
+}
+
+static void
+call_arrived (void *arg)
+{
+  struct late *late = arg;
+  struct store_call *call = find_call (late->store, late->id);
+  if (call != NULL && is_served (call))
+    run_call (call);
+  free (late);
+}
+
+static void
+schedule (struct store_call *call, clk_ms span_ms, void (*fn) (void *))
+{
+  struct late *late = mem_zalloc (sizeof *late);
+  *late = (struct late){ call->store, call->id };
+  fleet_later (call->store->fleet, span_ms, fn, late);
+}
+
+static uint64_t
+store_call (struct platform_port *port, const struct platform_call *request,
+            platform_done done, void *arg)
+{
+  struct fleet_host *host
+      = (struct fleet_host *)(void *)((char *)port
+                                      - offsetof (struct fleet_host, store));
+  struct fleet_store *store = host->fleet->store;
+  struct store_call *call = mem_zalloc (sizeof *call);
+  call->host = host;
+  call->store = store;
+  call->id = ++store->next_call;
+  call->call = *request;
+  call->done = done;
+  call->arg = arg;
+  if (request->key != NULL)
+    snprintf (call->key, KEY_BYTES, "%s", request->key);
+  if (request->lease != NULL)
+    snprintf (call->lease, LEASE_BYTES, "%s", request->lease);
+  if (request->write_count > 0)
+    {
+      call->write = request->writes[0];
+      snprintf (call->key, KEY_BYTES, "%s", call->write.key);
+      snprintf (call->value, VALUE_BYTES, "%.*s",
+                (int)call->write.value_bytes, call->write.value);
+      if (call->write.lease != NULL)
+        snprintf (call->lease, LEASE_BYTES, "%s", call->write.lease);
+      call->write.key = call->key;
+      call->write.value = call->value;
+      call->write.lease = call->write.lease != NULL ? call->lease : NULL;
+    }
+  call->until_ms = fleet_now (host->fleet) + request->wait_ms;
+  store->calls++;
+  DL_APPEND (store->list, call);
+  schedule (call, CALL_MS, call_arrived);
+  schedule (call,
+            request->wait_ms
+                + (request->timeout_ms > 0 ? request->timeout_ms : 5000),
+            call_expired);
+  return call->id;
+}
+
+static void
+store_cancel (struct platform_port *port, uint64_t id)
+{
+  struct fleet_host *host
+      = (struct fleet_host *)(void *)((char *)port
+                                      - offsetof (struct fleet_host, store));
+  struct store_call *call = find_call (host->fleet->store, id);
+  if (call == NULL)
+    return;
+  DL_DELETE (call->store->list, call);
+  free (call);
+}
+
+static const struct platform_port_ops store_ops
+    = { .call = store_call, .cancel = store_cancel };
+
+void
+fleet_store_ports (struct fleet_host *host)
+{
+  host->store.ops = &store_ops;
+}
+
+void
+fleet_store_forget (struct fleet_host *host)
+{
+  struct store_call *call;
+  DL_FOREACH (host->fleet->store->list, call)
+  if (call->host == host)
+    call->host = NULL;
+}
+
+struct fleet_store *
+fleet_store_new (struct fleet *fleet)
+{
+  struct fleet_store *store = mem_zalloc (sizeof *store);
+  store->fleet = fleet;
+  store->revision = 10;
+  return store;
+}
+
+void
+fleet_store_free (struct fleet_store *store)
+{
+  struct store_key *key, *next_key;
+  struct store_lease *lease, *next_lease;
+  while (store->list != NULL)
+    {
+      struct store_call *call = store->list;
+      DL_DELETE (store->list, call);
+      free (call);
+    }
+  HASH_ITER (hh, store->keys, key, next_key)
+  {
+    HASH_DEL (store->keys, key);
+    free (key);
+  }
+  HASH_ITER (hh, store->leases, lease, next_lease)
+  {
+    HASH_DEL (store->leases, lease);
+    free (lease);
+  }
+  free (store);
+}
+
+void
+fleet_store_down (struct fleet *fleet, bool down)
+{
+  fleet->store->down = down;
+  check_leases (fleet->store);
+}
+
+void
+fleet_store_compact (struct fleet *fleet)
+{
+  fleet->store->revision++;
+  fleet->store->forgotten = fleet->store->revision;
+  answer_watches (fleet->store);
+}
+
+uint64_t
+fleet_store_calls (const struct fleet *fleet)
+{
+  return fleet->store->calls;
+}
--- /dev/null
+++ b/tests/fleet/fleet_world.c
@@ -0,0 +1,318 @@
+#include "tests/fleet/fleet.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/mem.h"
+
+#define START_MS 1000000
+
+struct later
+{
+  struct fleet *fleet;
+  struct ktimer timer;
+  void (*fn) (void *);
+  void *arg;
+};
+
+static void
+fire_later (void *arg)
+{
+  struct later *later = arg;
+  void (*fn) (void *) = later->fn;
+  void *fn_arg = later->arg;
+  free (later);
+  fn (fn_arg);
+}
+
+void
+fleet_later (struct fleet *fleet, clk_ms span_ms, void (*fn) (void *),
+             void *arg)
+{
+  struct later *later = mem_zalloc (sizeof *later);
+  later->fn = fn;
+  later->arg = arg;
+  later->timer = (struct ktimer){ .fire = fire_later, .arg = later };
+  kernel_timer_set (fleet->kernel, &later->timer,
+                    fleet->clk.now_ms + span_ms);
+}
+
+static void
+quiet (void *arg, int priority, const char *line)
+{
+  (void)arg;
+  if (getenv ("FLEET_LOG") != NULL)
+    fprintf (stderr, "<%d>%lld %s\n", priority, (long long)clk_now (arg), line);
+}
+
+void
+fleet_break (struct fleet *fleet, const char *format, ...)
+{
+  va_list args;
+  if (fleet->broken[0] != '\0')
+    return;
+  va_start (args, format);
+  vsnprintf (fleet->broken, sizeof fleet->broken, format, args);
+  va_end (args);
+}
+
+const char *
+fleet_broken (const struct fleet *fleet)
+{
+  return fleet->broken[0] != '\0' ? fleet->broken : NULL;
+}
+
+static void
+set_instance_entry (struct fleet_host *host,
+                    const struct fleet_instance *instance, size_t index)
+{
+  struct instance_entry entry = { .port = (uint16_t)(1000 + index),
+                                  .slots = 5,
+                                  .draining = instance->draining,
+                                  .is_primary = instance->leads,
+                                  .revision = 1 };
+  snprintf (entry.id, sizeof entry.id, "%s", instance->id);
+  snprintf (entry.group, sizeof entry.group, FLEET_GROUP);
+  snprintf (entry.address, sizeof entry.address, "10.0.0.%zu", index + 1);
+  snprintf (entry.zone, sizeof entry.zone, "%s", instance->zone);
+  catalog_set_instance (host->catalog, &entry);
+}
+
+static void
+publish_to (struct fleet_host *host)
+{
+  struct fleet *fleet = host->fleet;
+  if (!host->running || host->store_cut)
+    return;
+  catalog_begin_list (host->catalog);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    if (!fleet->instances[i].absent)
+      set_instance_entry (host, &fleet->instances[i], i);
+  catalog_end_list (host->catalog, UINT64_MAX);
+}
+
+void
+fleet_publish (struct fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->host_count; i++)
+    publish_to (&fleet->hosts[i]);
+}
+
+static void
+set_config (struct fleet_host *host)
+{
+  static const struct
+  {
+    const char *database;
+    enum route_kind kind;
+    clk_ms staleness_ms;
+  } rows[] = {
+    { FLEET_DATABASE_PRIMARY, ROUTE_PRIMARY, 0 },
+    { FLEET_DATABASE_BOUNDED, ROUTE_BOUNDED, FLEET_STALENESS_MS },
+    { FLEET_DATABASE_SESSION, ROUTE_SESSION, FLEET_STALENESS_MS },
+  };
+  size_t count = sizeof rows / sizeof rows[0];
+  struct catalog_config config = { .version = 1, .tx_idle_ms = 3000 };
+  config.routes = mem_zalloc (count * sizeof *config.routes);
+  config.route_count = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct route *route = &config.routes[i];
+      snprintf (route->database, NAME_BYTES, "%s", rows[i].database);
+      snprintf (route->group, NAME_BYTES, FLEET_GROUP);
+      route->kind = rows[i].kind;
+      route->timeout_ms = 1000;
+      route->target_ms = 200;
+      route->max_staleness_ms = rows[i].staleness_ms;
+    }
+  config.groups = mem_zalloc (sizeof *config.groups);
+  config.group_count = 1;
+  snprintf (config.groups[0].name, NAME_BYTES, FLEET_GROUP);
+  config.groups[0].connections = 60;
+  catalog_set_config (host->catalog, &config);
+}
+
+static void
+ignore_regained (void *arg)
+{
+  (void)arg;
+}
+
+void
+fleet_host_start (struct fleet_host *host)
+{
+  struct fleet *fleet = host->fleet;
+  struct groups_options groups
+      = { .port = &host->instances, .zone = host->zone };
+  struct roster_options roster = { .store = &host->store,
+                                   .host = host->name,
+                                   .zone = host->zone,
+                                   .regained = ignore_regained };
+  struct promoter_options promoter = { .port = &host->promote,
+                                       .parse_status = fleet_status_parse,
+                                       .host = host->name };
+  rng_init (&host->rng, rng_u64 (&fleet->rng));
+  host->kernel = kernel_new (&fleet->clk.base, &host->rng, fleet->log);
+  host->catalog = catalog_new ();
+  host->groups = groups_new (&groups);
+  host->roster = roster_new (&roster);
+  host->promoter = promoter_new (&promoter);
+  host->callers = callers_new ();
+  kernel_register (host->kernel, catalog_module (host->catalog));
+  kernel_register (host->kernel, groups_module (host->groups));
+  kernel_register (host->kernel, roster_module (host->roster));
+  kernel_register (host->kernel, promoter_module (host->promoter));
+  kernel_register (host->kernel, callers_module (host->callers));
+  host->running = true;
+  kernel_start (host->kernel);
+  set_config (host);
+  publish_to (host);
+}
+
+void
+fleet_host_kill (struct fleet_host *host)
+{
+  if (!host->running)
+    return;
+  host->running = false;
+  fleet_links_forget (host);
+  fleet_store_forget (host);
+  kernel_free (host->kernel);
+  host->kernel = NULL;
+}
+
+struct fleet *
+fleet_new (uint64_t seed, size_t hosts)
+{
+  struct fleet *fleet = mem_zalloc (sizeof *fleet);
+  clk_virtual_init (&fleet->clk, START_MS);
+  rng_init (&fleet->rng, seed);
+  fleet->log = log_new (&fleet->clk.base, LOG_INFO, 0, quiet, &fleet->clk);
+  fleet->kernel = kernel_new (&fleet->clk.base, &fleet->rng, fleet->log);
+  fleet->store = fleet_store_new (fleet);
+  fleet->oracle = fleet_oracle_new (fleet);
+  fleet->host_count = hosts;
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      struct fleet_instance *instance = &fleet->instances[i];
+      instance->fleet = fleet;
+      snprintf (instance->id, NAME_BYTES, "i-%zu", i);
+      snprintf (instance->zone, NAME_BYTES, "zone-%zu", i % FLEET_ZONES);
+      instance->applied = (struct position){ 1, 0 };
+      instance->received = instance->applied;
+      instance->lag_ms = 8;
+      instance->max_connections = 60;
+    }
+  fleet->instances[0].leads = true;
+  for (size_t i = 0; i < hosts; i++)
+    {
+      struct fleet_host *host = &fleet->hosts[i];
+      host->fleet = fleet;
+      snprintf (host->name, NAME_BYTES, "host-%zu", i);
+      snprintf (host->zone, NAME_BYTES, "zone-%zu", i % FLEET_ZONES);
+      fleet_instance_ports (host);
+      fleet_store_ports (host);
+      fleet_host_start (host);
+    }
+  return fleet;
+}
+
+void
+fleet_free (struct fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_kill (&fleet->hosts[i]);
+  /* What is still on its way ends at nobody.  */
+  fleet_run (fleet, 60000);
+  fleet_store_free (fleet->store);
+  fleet_oracle_free (fleet->oracle);
+  kernel_free (fleet->kernel);
+  log_free (fleet->log);
+  free (fleet);
+}
+
+struct kernel *
+fleet_kernel (struct fleet *fleet)
+{
+  return fleet->kernel;
+}
+
+struct fleet_host *
+fleet_host (struct fleet *fleet, size_t index)
+{
+  return &fleet->hosts[index];
+}
+
+struct fleet_instance *
+fleet_instance (struct fleet *fleet, size_t index)
+{
+  return &fleet->instances[index];
+}
+
+clk_ms
+fleet_now (struct fleet *fleet)
+{
+  return fleet->clk.now_ms;
+}
+
+struct fleet_instance *
+fleet_leader (struct fleet *fleet)
+{
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    if (fleet->instances[i].leads)
+      return &fleet->instances[i];
+  return NULL;
+}
+
+static void
+run_kernels (struct fleet *fleet)
+{
+  kernel_run_due (fleet->kernel);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    if (fleet->hosts[i].running)
+      kernel_run_due (fleet->hosts[i].kernel);
+}
+
+static clk_ms
+next_due (struct fleet *fleet)
+{
+  clk_ms due_ms = kernel_next_due (fleet->kernel);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    if (fleet->hosts[i].running)
+      {
+        clk_ms host_ms = kernel_next_due (fleet->hosts[i].kernel);
+        if (host_ms < due_ms)
+          due_ms = host_ms;
+      }
+  return due_ms;
+}
+
+void
+fleet_run (struct fleet *fleet, clk_ms span_ms)
+{
+  clk_ms end_ms = fleet->clk.now_ms + span_ms;
+  for (;;)
+    {
+      clk_ms due_ms = next_due (fleet);
+      if (due_ms > end_ms)
+        break;
+      if (due_ms > fleet->clk.now_ms)
+        fleet->clk.now_ms = due_ms;
+      run_kernels (fleet);
+    }
+  fleet->clk.now_ms = end_ms;
+}
+
+uint64_t
+fleet_promotions (const struct fleet *fleet)
+{
+  return fleet->promotions;
+}
+
+uint64_t
+fleet_token (const struct fleet *fleet)
+{
+  return fleet->token;
+}
--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,273 @@
+/* Seeded schedules of faults against the real modules of the proxy, with an
+   oracle of the promises.  FLEET_SEEDS sets how many run, FLEET_SEED one.  */
+
+#include "tests/fleet/fleet.h"
+#include "unit.h"
+
+#define SEEDS 300
+#define CALLERS 24
+#define STEPS 900
+#define CALM_MS 8000
+
+/* Callers and faults of one schedule.  */
+struct schedule
+{
+  struct fleet *fleet;
+  struct rng rng;
+  struct fleet_caller *callers[CALLERS];
+  size_t host_of[CALLERS];
+  int left[CALLERS]; /* statements of the transaction */
+  size_t served;
+};
+
+static uint64_t
+below (struct schedule *s, uint64_t bound)
+{
+  return rng_below (&s->rng, bound);
+}
+
+static void
+open_caller (struct schedule *s, size_t i)
+{
+  static const char *const databases[]
+      = { FLEET_DATABASE_PRIMARY, FLEET_DATABASE_BOUNDED,
+          FLEET_DATABASE_SESSION };
+  size_t h = below (s, s->fleet->host_count);
+  struct fleet_host *host = fleet_host (s->fleet, h);
+  if (!host->running)
+    return;
+  s->callers[i] = fleet_caller_open (host, databases[below (s, 3)]);
+  s->host_of[i] = h;
+  s->left[i] = 0;
+}
+
+static void
+close_caller (struct schedule *s, size_t i)
+{
+  fleet_caller_close (s->callers[i]);
+  s->callers[i] = NULL;
+}
+
+static void
+send_in_transaction (struct schedule *s, size_t i)
+{
+  struct fleet_caller *caller = s->callers[i];
+  bool failed = fleet_caller_state (caller) == TX_FAILED;
+  if (failed || below (s, 12) == 0)
+    fleet_caller_send (caller, STMT_ROLLBACK, NULL, NULL);
+  else if (s->left[i]-- <= 0)
+    fleet_caller_send (caller, STMT_COMMIT, NULL, NULL);
+  else if (below (s, 3) == 0)
+    fleet_caller_send (caller, STMT_WRITE, "k 1", NULL);
+  else if (below (s, 8) == 0)
+    fleet_caller_send (caller, STMT_SET, "v", below (s, 2) ? "1" : "2");
+  else
+    fleet_caller_send (caller, STMT_READ, "k", NULL);
+}
+
+static void
+send_single (struct schedule *s, size_t i)
+{
+  struct fleet_caller *caller = s->callers[i];
+  uint64_t draw = below (s, 100);
+  if (draw < 40)
+    fleet_caller_send (caller, STMT_READ, "k", NULL);
+  else if (draw < 60)
+    fleet_caller_send (caller, STMT_WRITE, "k 1", NULL);
+  else if (draw < 65)
+    fleet_caller_send (caller, STMT_SET, "v", below (s, 2) ? "1" : "2");
+  else if (draw < 70)
+    fleet_caller_send (caller,
+                       below (s, 2) ? STMT_PREPARE_READ : STMT_PREPARE_WRITE,
+                       "p", below (s, 2) ? "qa" : "qb");
+  else if (draw < 78)
+    fleet_caller_send (caller, STMT_EXECUTE, "p", "x");
+  else
+    {
+      s->left[i] = (int)below (s, 6);
+      fleet_caller_send (caller, draw < 92 ? STMT_BEGIN : STMT_BEGIN_READ,
+                         NULL, NULL);
+    }
+}
+
+static void
+step_caller (struct schedule *s, size_t i)
+{
+  if (s->callers[i] == NULL)
+    {
+      open_caller (s, i);
+      return;
+    }
+  if (below (s, 150) == 0)
+    {
+      close_caller (s, i);
+      return;
+    }
+  if (fleet_caller_waits (s->callers[i]) || below (s, 3) == 0)
+    return;
+  s->served += fleet_caller_code (s->callers[i]) == CODE_OK;
+  if (fleet_caller_state (s->callers[i]) != TX_IDLE)
+    send_in_transaction (s, i);
+  else
+    send_single (s, i);
+}
+
+static void
+kill_host (struct schedule *s)
+{
+  size_t h = below (s, s->fleet->host_count);
+  for (size_t i = 0; i < CALLERS; i++)
+    if (s->callers[i] != NULL && s->host_of[i] == h)
+      close_caller (s, i);
+  fleet_host_kill (fleet_host (s->fleet, h));
+}
+
+static void
+fault_instance (struct schedule *s)
+{
+  struct fleet_instance *instance
+      = fleet_instance (s->fleet, below (s, FLEET_INSTANCES));
+  switch (below (s, 7))
+    {
+    case 0:
+      instance->dark = !instance->dark;
+      break;
+    case 1:
+      instance->lag_ms = (clk_ms)below (s, 3) * 700 + 5;
+      break;
+    case 2:
+      instance->busy_percent = (uint32_t)below (s, 2) * 30;
+      break;
+    case 3:
+      instance->lost_percent = (uint32_t)below (s, 2) * 5;
+      break;
+    case 4:
+      instance->deaf = !instance->deaf;
+      break;
+    case 5:
+      instance->absent = !instance->absent;
+      fleet_publish (s->fleet);
+      break;
+    default:
+      instance->draining = !instance->draining;
+      fleet_publish (s->fleet);
+    }
+}
+
+static void
+fault (struct schedule *s)
+{
+  struct fleet_host *host
+      = fleet_host (s->fleet, below (s, s->fleet->host_count));
+  switch (below (s, 8))
+    {
+    case 0:
+      fleet_store_down (s->fleet, below (s, 2));
+      break;
+    case 1:
+      fleet_store_compact (s->fleet);
+      break;
+    case 2:
+      host->store_cut = !host->store_cut;
+      break;
+    case 3:
+      if (!host->running)
+        fleet_host_start (host);
+      else
+        kill_host (s);
+      break;
+    case 4:
+      host->cut[below (s, FLEET_INSTANCES)] ^= true;
+      break;
+    default:
+      fault_instance (s);
+    }
+}
+
+static void
+heal (struct schedule *s)
+{
+  fleet_store_down (s->fleet, false);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      struct fleet_instance *instance = fleet_instance (s->fleet, i);
+      instance->dark = instance->deaf = false;
+      instance->absent = instance->draining = false;
+      instance->busy_percent = instance->lost_percent = 0;
+      instance->lag_ms = 8;
+    }
+  for (size_t i = 0; i < s->fleet->host_count; i++)
+    {
+      struct fleet_host *host = fleet_host (s->fleet, i);
+      host->store_cut = false;
+      memset (host->cut, 0, sizeof host->cut);
+      if (!host->running)
+        fleet_host_start (host);
+    }
+  fleet_publish (s->fleet);
+}
+
+/* After the faults every host serves a write.  */
+static void
+check_recovery (struct schedule *s, uint64_t seed)
+{
+  for (size_t i = 0; i < CALLERS; i++)
+    if (s->callers[i] != NULL)
+      close_caller (s, i);
+  fleet_run (s->fleet, CALM_MS);
+  for (size_t i = 0; i < s->fleet->host_count; i++)
+    {
+      struct fleet_caller *caller = fleet_caller_open (
+          fleet_host (s->fleet, i), FLEET_DATABASE_PRIMARY);
+      fleet_caller_send (caller, STMT_WRITE, "after 1", NULL);
+      fleet_run (s->fleet, 1500);
+      ck_assert_msg (!fleet_caller_waits (caller),
+                     "seed %llu: no answer after the faults",
+                     (unsigned long long)seed);
+      ck_assert_msg (fleet_caller_code (caller) == CODE_OK,
+                     "seed %llu: host %zu answers %s after the faults",
+                     (unsigned long long)seed, i,
+                     code_name (fleet_caller_code (caller)));
+      fleet_caller_close (caller);
+    }
+}
+
+static void
+run_schedule (uint64_t seed)
+{
+  struct schedule s = { .fleet = fleet_new (seed, 4) };
+  rng_init (&s.rng, seed + 1000000);
+  fleet_run (s.fleet, 1500);
+  for (int step = 0; step < STEPS && fleet_broken (s.fleet) == NULL; step++)
+    {
+      for (size_t i = 0; i < CALLERS; i++)
+        step_caller (&s, i);
+      if (below (&s, 25) == 0)
+        fault (&s);
+      fleet_run (s.fleet, 5 + (clk_ms)below (&s, 15));
+    }
+  ck_assert_msg (fleet_broken (s.fleet) == NULL, "seed %llu: %s",
+                 (unsigned long long)seed, fleet_broken (s.fleet));
+  heal (&s);
+  check_recovery (&s, seed);
+  ck_assert_msg (fleet_broken (s.fleet) == NULL, "seed %llu: %s",
+                 (unsigned long long)seed, fleet_broken (s.fleet));
+  ck_assert_uint_gt (s.served, 100);
+  fleet_free (s.fleet);
+}
+
+UNIT_PLAIN (test_no_promise_is_broken_under_any_schedule_of_faults)
+{
+  const char *one = getenv ("FLEET_SEED");
+  const char *many = getenv ("FLEET_SEEDS");
+  uint64_t count = many != NULL ? strtoull (many, NULL, 10) : SEEDS;
+  if (one != NULL)
+    {
+      run_schedule (strtoull (one, NULL, 10));
+      return;
+    }
+  for (uint64_t seed = 1; seed <= count; seed++)
+    run_schedule (seed);
+}
+
+UNIT_MAIN ("fleet", .plain_timeout_s = 3600)
--- /dev/null
+++ b/tests/unit/test_proxy.c
@@ -0,0 +1,371 @@
+#include "proxy/samples.h"
+#include "tests/fleet/fleet.h"
+#include "unit.h"
+
+#define SETTLE_MS 2000
+#define ANSWER_MS 1500
+
+static struct fleet *fleet;
+
+static void
+set_up (void)
+{
+  fleet = fleet_new (7, FLEET_HOSTS);
+  fleet_run (fleet, SETTLE_MS);
+}
+
+static void
+tear_down (void)
+{
+  ck_assert_msg (fleet_broken (fleet) == NULL, "%s", fleet_broken (fleet));
+  fleet_free (fleet);
+}
+
+static enum code
+run (struct fleet_caller *caller, enum stmt_kind kind, const char *name,
+     const char *rest)
+{
+  fleet_caller_send (caller, kind, name, rest);
+  for (int i = 0; i < ANSWER_MS && fleet_caller_waits (caller); i++)
+    fleet_run (fleet, 1);
+  ck_assert_msg (!fleet_caller_waits (caller), "no answer");
+  return fleet_caller_code (caller);
+}
+
+/* Writes until one succeeds; returns how long that took.  */
+static clk_ms
+write_gap_ms (struct fleet_host *host)
+{
+  clk_ms begin_ms = fleet_now (fleet);
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  while (run (caller, STMT_WRITE, "gap 1", NULL) != CODE_OK)
+    {
+      ck_assert_int_lt (fleet_now (fleet) - begin_ms, 30000);
+      fleet_run (fleet, 5);
+    }
+  fleet_caller_close (caller);
+  return fleet_now (fleet) - begin_ms;
+}
+
+UNIT_TEST (test_reads_of_a_stated_age_leave_the_primary)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
+  int on_primary = 0;
+  for (int i = 0; i < 40; i++)
+    {
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+      on_primary += strcmp (fleet_caller_server (caller), "i-0") == 0;
+    }
+  ck_assert_int_lt (on_primary, 4);
+}
+
+UNIT_TEST (test_a_session_sees_its_own_write)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 1), FLEET_DATABASE_SESSION);
+  for (int i = 0; i < 30; i++)
+    {
+      ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+    }
+}
+
+UNIT_TEST (test_reads_of_a_lagging_group_go_on_to_the_primary)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 1), FLEET_DATABASE_SESSION);
+  fleet_instance (fleet, 1)->lag_ms = 5000;
+  fleet_instance (fleet, 2)->lag_ms = 5000;
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+  ck_assert_str_eq (fleet_caller_server (caller), "i-0");
+  ck_assert_int_lt (fleet_caller_took_ms (caller), 60);
+}
+
+UNIT_TEST (test_a_transaction_runs_on_one_connection_and_commits_once)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 2), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (fleet_caller_state (caller), TX_OPEN);
+  ck_assert_int_eq (run (caller, STMT_COMMIT, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (fleet_caller_state (caller), TX_IDLE);
+}
+
+UNIT_TEST (test_values_and_prepared_statements_follow_the_session)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *a = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *b = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (a, STMT_SET, "lang", "sw"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_PREPARE_READ, "s1", "qa"), CODE_OK);
+  ck_assert_int_eq (run (b, STMT_PREPARE_WRITE, "s1", "qb"), CODE_OK);
+  for (int i = 0; i < 10; i++)
+    {
+      ck_assert_int_eq (run (a, STMT_EXECUTE, "s1", "x"), CODE_OK);
+      ck_assert_int_eq (run (b, STMT_EXECUTE, "s1", "x 1"), CODE_OK);
+    }
+  ck_assert_int_eq (run (a, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_READ, "y", NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_SET, "lang", "en"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_READ, "y", NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_COMMIT, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (b, STMT_EXECUTE, "unknown", "x"), CODE_NOSTMT);
+}
+
+UNIT_TEST (test_a_commit_refused_for_want_of_a_slot_leaves_nothing_open)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *a = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *b = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (a, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_instance (fleet, 0)->busy_percent = 100;
+  ck_assert_int_ne (run (a, STMT_COMMIT, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (fleet_caller_state (a), TX_IDLE);
+  fleet_instance (fleet, 0)->busy_percent = 0;
+  for (int i = 0; i < 10; i++)
+    ck_assert_int_eq (run (b, STMT_WRITE, "b 1", NULL), CODE_OK);
+}
+
+UNIT_TEST (test_a_caller_that_leaves_in_a_transaction_leaves_no_trace)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  for (int i = 0; i < 10; i++)
+    {
+      struct fleet_caller *a
+          = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      ck_assert_int_eq (run (a, STMT_BEGIN, NULL, NULL), CODE_OK);
+      ck_assert_int_eq (run (a, STMT_WRITE, "a 1", NULL), CODE_OK);
+      if (i % 2 == 0)
+        fleet_caller_send (a, STMT_READ, "a", NULL);
+      fleet_caller_close (a);
+      struct fleet_caller *b
+          = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      ck_assert_int_eq (run (b, STMT_READ, "a", NULL), CODE_OK);
+      fleet_caller_close (b);
+    }
+}
+
+UNIT_TEST (test_an_idle_transaction_is_ended_and_its_caller_told)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_run (fleet, 3500);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_ABORTED);
+  ck_assert_int_eq (fleet_caller_state (caller), TX_FAILED);
+  ck_assert_int_eq (run (caller, STMT_ROLLBACK, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+}
+
+UNIT_TEST (test_a_write_whose_answer_is_lost_is_never_refused)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  fleet_instance (fleet, 0)->lost_percent = 100;
+  enum code code = run (caller, STMT_WRITE, "a 1", NULL);
+  ck_assert (code == CODE_TIMEOUT || code == CODE_INDOUBT);
+  fleet_instance (fleet, 0)->lost_percent = 0;
+}
+
+UNIT_TEST (test_a_read_whose_answer_is_lost_is_tried_elsewhere)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
+  fleet_instance (fleet, 1)->lost_percent = 100;
+  for (int i = 0; i < 10; i++)
+    ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+  fleet_instance (fleet, 1)->lost_percent = 0;
+}
+
+UNIT_TEST (test_a_primary_that_goes_dark_is_replaced_within_a_second)
+{
+  fleet_instance (fleet, 0)->dark = true;
+  clk_ms gap_ms = write_gap_ms (fleet_host (fleet, 1));
+  ck_assert_int_eq (fleet_promotions (fleet), 1);
+  ck_assert_int_le (gap_ms, 1000 + FLEET_PROMOTE_MS);
+}
+
+UNIT_TEST (test_the_instance_with_the_furthest_log_is_promoted)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  fleet_instance (fleet, 1)->deaf = true;
+  for (int i = 0; i < 5; i++)
+    ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_run (fleet, 100);
+  fleet_instance (fleet, 0)->dark = true;
+  write_gap_ms (fleet_host (fleet, 1));
+  ck_assert (fleet_leader (fleet) == fleet_instance (fleet, 2));
+}
+
+UNIT_TEST (test_a_leaving_primary_is_handed_over_without_loss)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  for (int i = 0; i < 5; i++)
+    ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  struct position before = fleet_leader (fleet)->applied;
+  fleet_instance (fleet, 0)->draining = true;
+  fleet_publish (fleet);
+  clk_ms gap_ms = write_gap_ms (fleet_host (fleet, 1));
+  fleet_run (fleet, 1000);
+  ck_assert_int_eq (fleet_promotions (fleet), 1);
+  ck_assert (fleet_leader (fleet) != fleet_instance (fleet, 0));
+  ck_assert_uint_ge (fleet_leader (fleet)->applied.lsn, before.lsn + 1);
+  ck_assert_int_le (gap_ms, 200 + FLEET_PROMOTE_MS);
+}
+
+UNIT_TEST (test_one_host_that_cannot_reach_the_primary_changes_nothing)
+{
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    {
+      struct fleet_host *host = fleet_host (fleet, i);
+      host->cut[0] = true;
+      fleet_run (fleet, 3000);
+      ck_assert_uint_eq (fleet_promotions (fleet), 0);
+      host->cut[0] = false;
+      fleet_run (fleet, 1000);
+    }
+}
+
+UNIT_TEST (test_hosts_of_one_failure_domain_are_no_majority)
+{
+  for (size_t i = 0; i < FLEET_HOSTS; i += FLEET_ZONES)
+    fleet_host (fleet, i + 1)->cut[0] = true;
+  fleet_run (fleet, 250);
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+}
+
+UNIT_TEST (test_a_primary_behind_a_cut_of_its_failure_domain_is_replaced)
+{
+  struct fleet_host *inside = NULL;
+  for (size_t h = 0; h < FLEET_HOSTS; h++)
+    {
+      struct fleet_host *host = fleet_host (fleet, h);
+      bool in = strcmp (host->zone, "zone-0") == 0;
+      host->store_cut = in;
+      for (size_t i = 0; i < FLEET_INSTANCES; i++)
+        host->cut[i] = in != (i == 0);
+      if (in)
+        inside = host;
+    }
+  ck_assert (!groups_cut_off (inside->groups));
+  fleet_run (fleet, 4500);
+  ck_assert (fleet_leader (fleet) != fleet_instance (fleet, 0));
+  ck_assert (groups_cut_off (inside->groups));
+  ck_assert (!groups_cut_off (fleet_host (fleet, 1)->groups));
+  struct fleet_caller *caller
+      = fleet_caller_open (inside, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_ne (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_lt (fleet_caller_took_ms (caller), 50);
+}
+
+UNIT_TEST (test_the_duty_passes_on_with_a_higher_token_when_its_holder_dies)
+{
+  uint64_t first = 0, token = 0;
+  fleet_instance (fleet, 0)->dark = true;
+  write_gap_ms (fleet_host (fleet, 1));
+  fleet_instance (fleet, 0)->dark = false;
+  first = fleet_token (fleet);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (roster_holds (fleet_host (fleet, i)->roster, &token))
+      fleet_host_kill (fleet_host (fleet, i));
+  fleet_run (fleet, 3000);
+  size_t holders = 0;
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    holders += fleet_host (fleet, i)->running
+               && roster_holds (fleet_host (fleet, i)->roster, &token);
+  ck_assert_uint_eq (holders, 1);
+  ck_assert_uint_gt (token, first);
+}
+
+UNIT_TEST (test_a_store_that_forgot_its_history_is_read_anew)
+{
+  fleet_store_compact (fleet);
+  fleet_run (fleet, 1000);
+  fleet_instance (fleet, 0)->dark = true;
+  write_gap_ms (fleet_host (fleet, 1));
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+}
+
+UNIT_TEST (test_entries_that_lapsed_in_an_outage_prove_nothing_at_once)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  fleet_instance (fleet, 0)->absent = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, 1500);
+  fleet_instance (fleet, 0)->absent = false;
+  fleet_publish (fleet);
+  fleet_run (fleet, 3000);
+  ck_assert_uint_eq (fleet_promotions (fleet), 0);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+}
+
+UNIT_TEST (test_an_instance_whose_entry_is_gone_gets_no_work)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
+  fleet_instance (fleet, 1)->absent = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, 6000);
+  for (int i = 0; i < 20; i++)
+    {
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+      ck_assert_str_ne (fleet_caller_server (caller), "i-1");
+    }
+}
+
+UNIT_TEST (test_a_calm_fleet_makes_few_calls_to_the_store)
+{
+  uint64_t before = fleet_store_calls (fleet);
+  fleet_run (fleet, 30000);
+  uint64_t calls = fleet_store_calls (fleet) - before;
+  /* A host renews its lease every 2.5 s, watches for 30 s, counts every
+     15 s; the holder of the duty renews every 450 ms besides.  */
+  ck_assert_uint_le (calls, FLEET_HOSTS * (12 + 1 + 2 + 1) + 67);
+}
+
+UNIT_TEST (test_connections_stay_within_those_of_an_instance)
+{
+  struct fleet_caller *callers[60];
+  for (int i = 0; i < 60; i++)
+    {
+      callers[i] = fleet_caller_open (
+          fleet_host (fleet, (size_t)i % FLEET_HOSTS), FLEET_DATABASE_PRIMARY);
+      ck_assert_int_eq (run (callers[i], STMT_BEGIN, NULL, NULL), CODE_OK);
+      fleet_caller_send (callers[i], STMT_WRITE, "a 1", NULL);
+      fleet_run (fleet, 20);
+    }
+  fleet_run (fleet, 1500);
+  ck_assert_uint_le (fleet_instance (fleet, 0)->connections,
+                     FLEET_HOSTS * GROUP_SHARE_LIMIT);
+}
+
+UNIT_PLAIN (test_the_oldest_sample_within_the_stated_age_is_the_floor)
+{
+  struct samples samples = { 0 };
+  struct position floor;
+  for (uint64_t i = 1; i <= 30; i++)
+    samples_note (&samples, (struct position){ 1, i },
+                  (clk_ms)(1000 + 100 * i));
+  ck_assert (samples_floor (&samples, 2500, &floor));
+  ck_assert_uint_eq (floor.lsn, 15);
+  ck_assert (!samples_floor (&samples, 4001, &floor));
+  samples_note (&samples, (struct position){ 2, 20 }, 4100);
+  ck_assert (samples_floor (&samples, 2500, &floor));
+  ck_assert_uint_eq (floor.term, 2);
+  samples_note (&samples, (struct position){ 1, 99 }, 4200);
+  ck_assert_uint_eq (samples_newest (&samples).term, 2);
+}
+
+UNIT_MAIN ("proxy", .setup = set_up, .teardown = tear_down, .timeout_s = 60)
