Follow the whole store with one watch a host; claim the duty less often

Change: one mirror module with subscribers by prefix, changes settle 900 ms but on the host with the duty; hosts count themselves from it; a lost claim is not repeated; the first claims are spread over 2.5 s.

--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -44,7 +44,6 @@
   const char *after;   /* PLATFORM_LIST: continues after this key */
   uint64_t wait_index; /* return once the index is above this */
   clk_ms wait_ms;      /* at most this long; 0 returns at once */
-  bool stale_ok;       /* PLATFORM_LIST: may be seconds old, and is cheap */
   clk_ms timeout_ms;   /* for an answer, beyond wait_ms */
   const struct platform_write *writes;
   size_t write_count;
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -7,12 +7,11 @@
 
 struct mirror
 {
-  struct kernel *kernel;
+  struct module base;
   struct platform_port *port;
-  char *prefix;
-  clk_ms settle_ms;
-  clk_ms retry_ms;
-  struct mirror_events events;
+  size_t subscriber_count;
+  struct mirror_events subscribers[MIRROR_SUBSCRIBERS];
+  bool prompt;
   bool listing;
   char *after;       /* last key of the page before; NULL for the first */
   uint64_t revision; /* taken in up to here */
@@ -31,25 +30,29 @@
   if (mirror->reached == reached)
     return;
   mirror->reached = reached;
-  log_event (kernel_log (mirror->kernel), reached ? LOG_NOTICE : LOG_WARNING,
+  log_event (kernel_log (mirror->base.kernel),
+             reached ? LOG_NOTICE : LOG_WARNING,
              reached ? "store_regained" : "store_lost",
              LOG_U ("revision", mirror->revision));
-  mirror->events.reach (mirror->events.arg, reached);
+  for (size_t i = 0; i < mirror->subscriber_count; i++)
+    if (mirror->subscribers[i].reach != NULL)
+      mirror->subscribers[i].reach (mirror->subscribers[i].arg, reached);
 }
 
 static void
 retry_later (struct mirror *mirror)
 {
   clk_ms wait_ms = MIRROR_RETRY_FIRST_MS;
-  for (uint32_t i = 0; i < mirror->failures && wait_ms < mirror->retry_ms; i++)
+  for (uint32_t i = 0; i < mirror->failures && wait_ms < MIRROR_RETRY_LAST_MS;
+       i++)
     wait_ms *= 2;
-  if (wait_ms > mirror->retry_ms)
-    wait_ms = mirror->retry_ms;
+  if (wait_ms > MIRROR_RETRY_LAST_MS)
+    wait_ms = MIRROR_RETRY_LAST_MS;
   mirror->failures++;
-  wait_ms
-      += (clk_ms)rng_below (kernel_rng (mirror->kernel), (uint64_t)wait_ms);
-  kernel_timer_set (mirror->kernel, &mirror->retry,
-                    kernel_now (mirror->kernel) + wait_ms);
+  wait_ms += (clk_ms)rng_below (kernel_rng (mirror->base.kernel),
+                                (uint64_t)wait_ms);
+  kernel_timer_set (mirror->base.kernel, &mirror->retry,
+                    kernel_now (mirror->base.kernel) + wait_ms);
 }
 
 static void
@@ -61,18 +64,44 @@
 }
 
 static void
-take_items (struct mirror *mirror, const struct platform_reply *reply)
+take_item (struct mirror *mirror, const struct platform_item *item)
 {
-  for (size_t i = 0; i < reply->item_count; i++)
+  for (size_t i = 0; i < mirror->subscriber_count; i++)
     {
-      const struct platform_item *item = &reply->items[i];
+      const struct mirror_events *events = &mirror->subscribers[i];
+      if (strncmp (item->key, events->prefix, strlen (events->prefix)) != 0)
+        continue;
       if (item->removed)
-        mirror->events.removed (mirror->events.arg, item->key, item->index);
+        events->removed (events->arg, item->key, item->index);
       else
-        mirror->events.item (mirror->events.arg, item);
+        events->item (events->arg, item);
     }
 }
 
+static void
+take_items (struct mirror *mirror, const struct platform_reply *reply)
+{
+  for (size_t i = 0; i < reply->item_count; i++)
+    take_item (mirror, &reply->items[i]);
+}
+
+static void
+begin_list (struct mirror *mirror)
+{
+  for (size_t i = 0; i < mirror->subscriber_count; i++)
+    if (mirror->subscribers[i].begin_list != NULL)
+      mirror->subscribers[i].begin_list (mirror->subscribers[i].arg);
+}
+
+static void
+end_list (struct mirror *mirror)
+{
+  for (size_t i = 0; i < mirror->subscriber_count; i++)
+    if (mirror->subscribers[i].end_list != NULL)
+      mirror->subscribers[i].end_list (mirror->subscribers[i].arg,
+                                       mirror->revision);
+}
+
 static void
 take_page (struct mirror *mirror, const struct platform_reply *reply)
 {
@@ -80,7 +109,7 @@
     {
       /* Pages are no snapshot: changes since the first are watched for.  */
       mirror->revision = reply->index;
-      mirror->events.begin_list (mirror->events.arg);
+      begin_list (mirror);
     }
   take_items (mirror, reply);
   if (reply->more && reply->item_count > 0)
@@ -91,7 +120,7 @@
     }
   mirror->listing = false;
   mirror->complete = true;
-  mirror->events.end_list (mirror->events.arg, mirror->revision);
+  end_list (mirror);
 }
 
 static void
@@ -101,8 +130,8 @@
   mirror->call = 0;
   if (reply->status == PLATFORM_COMPACTED)
     {
-      log_event (kernel_log (mirror->kernel), LOG_NOTICE, "store_compacted",
-                 LOG_U ("revision", mirror->revision));
+      log_event (kernel_log (mirror->base.kernel), LOG_NOTICE,
+                 "store_compacted", LOG_U ("revision", mirror->revision));
       start_list (mirror);
       next_call (mirror);
       return;
@@ -125,10 +154,11 @@
       take_items (mirror, reply);
       if (reply->index > mirror->revision)
         mirror->revision = reply->index;
-      if (mirror->settle_ms > 0 && reply->item_count > 0)
+      if (!mirror->prompt && reply->item_count > 0)
         {
-          kernel_timer_set (mirror->kernel, &mirror->retry,
-                            kernel_now (mirror->kernel) + mirror->settle_ms);
+          kernel_timer_set (mirror->base.kernel, &mirror->retry,
+                            kernel_now (mirror->base.kernel)
+                                + MIRROR_SETTLE_MS);
           return;
         }
     }
@@ -141,7 +171,7 @@
   struct platform_call call
       = { .kind = mirror->listing ? PLATFORM_LIST : PLATFORM_WATCH,
           .purpose = mirror->listing ? "list" : "watch",
-          .key = mirror->prefix,
+          .key = "",
           .after = mirror->after,
           .wait_index = mirror->revision,
           .wait_ms = mirror->listing ? 0 : MIRROR_WAIT_MS,
@@ -159,48 +189,61 @@
   next_call (arg);
 }
 
+static void
+mirror_start (struct module *module)
+{
+  struct mirror *mirror = (struct mirror *)module;
+  start_list (mirror);
+  next_call (mirror);
+}
+
+static void
+mirror_free (struct module *module)
+{
+  struct mirror *mirror = (struct mirror *)module;
+  if (mirror->call != 0)
+    mirror->port->ops->cancel (mirror->port, mirror->call);
+  kernel_timer_cancel (module->kernel, &mirror->retry);
+  free (mirror->after);
+  free (mirror);
+}
+
+static const struct module_ops mirror_ops
+    = { .start = mirror_start, .free = mirror_free };
+
 struct mirror *
-mirror_new (const struct mirror_options *options,
-            const struct mirror_events *events)
+mirror_new (struct platform_port *port)
 {
   struct mirror *mirror = mem_zalloc (sizeof *mirror);
-  mirror->kernel = options->kernel;
-  mirror->port = options->port;
-  mirror->prefix = mem_strdup (options->prefix);
-  mirror->settle_ms = options->settle_ms;
-  mirror->retry_ms = options->retry_ms;
-  mirror->events = *events;
+  mirror->base.ops = &mirror_ops;
+  mirror->base.name = "mirror";
+  mirror->port = port;
   mirror->retry.fire = on_retry;
   mirror->retry.arg = mirror;
-  start_list (mirror);
   return mirror;
 }
 
-void
-mirror_start (struct mirror *mirror)
+struct module *
+mirror_module (struct mirror *mirror)
 {
-  next_call (mirror);
+  return &mirror->base;
 }
 
 void
-mirror_wake (struct mirror *mirror)
+mirror_subscribe (struct mirror *mirror, const struct mirror_events *events)
 {
-  if (mirror->failures > 0 && mirror->retry.slot != 0)
-    kernel_timer_set (mirror->kernel, &mirror->retry,
-                      kernel_now (mirror->kernel));
+  if (mirror->subscriber_count == MIRROR_SUBSCRIBERS)
+    abort (); /* the number of modules is fixed */
+  mirror->subscribers[mirror->subscriber_count++] = *events;
 }
 
 void
-mirror_free (struct mirror *mirror)
+mirror_set_prompt (struct mirror *mirror, bool prompt)
 {
-  if (mirror == NULL)
-    return;
-  if (mirror->call != 0)
-    mirror->port->ops->cancel (mirror->port, mirror->call);
-  kernel_timer_cancel (mirror->kernel, &mirror->retry);
-  free (mirror->after);
-  free (mirror->prefix);
-  free (mirror);
+  struct kernel *kernel = mirror->base.kernel;
+  mirror->prompt = prompt;
+  if (prompt && mirror->failures == 0 && mirror->retry.slot != 0)
+    kernel_timer_set (kernel, &mirror->retry, kernel_now (kernel));
 }
 
 bool
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -1,8 +1,11 @@
-/* mirror - follows all keys below a prefix of the platform's store.
+/* mirror - follows the platform's store.
 
-   Reads them page by page, then watches for changes.  Where the store has
-   forgotten the history, it reads all again; keys that are missing then
-   count as removed.  While the store does not answer it keeps trying.  */
+   Reads all keys page by page, then watches for changes with one call at a
+   time.  Where the store has forgotten the history, it reads all again; keys
+   that are missing then count as removed.  While the store does not answer
+   it keeps trying.  Subscribers get the keys below their prefix.
+
+   Module name: "mirror".  */
 
 #ifndef SAVORYWAY_PROXY_MIRROR_H
 #define SAVORYWAY_PROXY_MIRROR_H
@@ -14,42 +17,40 @@
 #define MIRROR_WAIT_MS 30000
 #define MIRROR_TIMEOUT_MS 1200
 #define MIRROR_RETRY_FIRST_MS 60
-/* Refused calls have their price: of a host's mirrors one asks often, and the
-   others are woken when it is answered.  */
+/* Refused calls have their price.  */
 #define MIRROR_RETRY_LAST_MS 350
-#define MIRROR_RETRY_WOKEN_MS 2500
+
+/* After a change the next watch begins so much later, so that changes that
+   come together cost one call; well under the time in which a configuration
+   must be in force.  */
+#define MIRROR_SETTLE_MS 900
+
+#define MIRROR_SUBSCRIBERS 8
 
 struct mirror_events
 {
+  const char *prefix;
   void (*item) (void *arg, const struct platform_item *item);
   void (*removed) (void *arg, const char *key, uint64_t revision);
+  /* Around a full listing.  May be NULL.  */
   void (*begin_list) (void *arg);
   void (*end_list) (void *arg, uint64_t revision);
-  /* The store answers, or no longer does.  */
+  /* The store answers, or no longer does.  May be NULL.  */
   void (*reach) (void *arg, bool reached);
   void *arg;
 };
 
 struct mirror;
 
-struct mirror_options
-{
-  struct kernel *kernel;
-  struct platform_port *port;
-  const char *prefix;
-  clk_ms settle_ms; /* from a change to the next watch, so that changes that
-                       come together cost one call */
-  clk_ms retry_ms;  /* longest wait while the store does not answer */
-};
-
-struct mirror *mirror_new (const struct mirror_options *options,
-                           const struct mirror_events *events);
-void mirror_free (struct mirror *mirror);
+struct mirror *mirror_new (struct platform_port *port);
+struct module *mirror_module (struct mirror *mirror);
 
-void mirror_start (struct mirror *mirror);
+/* EVENTS outlive the mirror's start.  */
+void mirror_subscribe (struct mirror *mirror,
+                       const struct mirror_events *events);
 
-/* Tries again at once, if the store did not answer.  */
-void mirror_wake (struct mirror *mirror);
+/* Sets whether changes are wanted without delay.  */
+void mirror_set_prompt (struct mirror *mirror, bool prompt);
 
 /* Whether a full listing has been taken in.  */
 bool mirror_complete (const struct mirror *mirror);
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -14,9 +14,8 @@
 
 #define PREFIX "savoryway/"
 #define HOSTS_PREFIX PREFIX "hosts/"
-#define NOW_PREFIX PREFIX "now/"
-#define DUTY_KEY NOW_PREFIX "duty"
-#define REPORTS_PREFIX NOW_PREFIX "reports/"
+#define DUTY_KEY PREFIX "duty"
+#define REPORTS_PREFIX PREFIX "reports/"
 #define KEY_BYTES 200
 
 /* A key of the store as it was last seen.  */
@@ -30,7 +29,7 @@
   UT_hash_handle hh;
 };
 
-/* A failure domain, and its hosts as last counted.  */
+/* A failure domain, and its registered hosts.  */
 struct roster_domain
 {
   char name[NAME_BYTES];
@@ -58,8 +57,6 @@
 {
   struct module base;
   struct platform_port *store;
-  void (*regained) (void *arg);
-  void *arg;
   char host[NAME_BYTES];
   char zone[NAME_BYTES];
   char self[2 * NAME_BYTES]; /* "HOST INCARNATION" */
@@ -74,7 +71,6 @@
   bool duty_call;
   clk_ms yield_until_ms;
   bool leaving;
-  struct ktimer count;
   struct ktimer claim;
   struct roster_report_state *reports;
 };
@@ -163,43 +159,34 @@
   domain[i].hosts++;
 }
 
-/* Takes the count of hosts.  The own registration may be missing: that of an
-   earlier process stood in its way until its lease ended.  */
+static bool
+is_host_key (const char *name)
+{
+  return strncmp (name, HOSTS_PREFIX, strlen (HOSTS_PREFIX)) == 0;
+}
+
+/* Counts the registered hosts; this one counts while its registration is on
+   its way.  */
 static void
-counted (void *arg, const struct platform_reply *reply)
+count_hosts (struct roster *roster)
 {
-  struct roster *roster = arg;
-  char name[KEY_BYTES];
-  bool stands = false;
-  if (reply->status != PLATFORM_OK)
-    return;
-  own_host_key (roster, name);
+  char own[KEY_BYTES];
+  const struct roster_key *key;
+  own_host_key (roster, own);
   roster->domain_count = 0;
-  for (size_t i = 0; i < reply->item_count; i++)
+  roster->host_count = 0;
+  for (key = roster->keys; key != NULL; key = key->hh.next)
+    if (is_host_key (key->name))
+      {
+        count_host (roster, key->value);
+        roster->host_count++;
+      }
+  if (find_key (roster, own) == NULL)
     {
-      stands |= strcmp (reply->items[i].key, name) == 0;
-      count_host (roster, reply->items[i].value);
+      count_host (roster, roster->zone);
+      roster->host_count++;
     }
-  if (!stands)
-    count_host (roster, roster->zone);
-  roster->host_count = reply->item_count + !stands;
   groups_set_hosts (roster->groups, roster->host_count);
-  if (!stands)
-    register_host (roster);
-}
-
-static void
-on_count (void *arg)
-{
-  struct roster *roster = arg;
-  struct platform_call call = { .kind = PLATFORM_LIST,
-                                .purpose = "hosts",
-                                .key = HOSTS_PREFIX,
-                                .stale_ok = true,
-                                .timeout_ms = ROSTER_CALL_TIMEOUT_MS };
-  roster->store->ops->call (roster->store, &call, counted, roster);
-  kernel_timer_set (roster->base.kernel, &roster->count,
-                    now_ms (roster) + ROSTER_COUNT_MS);
 }
 
 /* Reports.  */
@@ -317,18 +304,25 @@
 }
 
 static void
-claim_soon (struct roster *roster)
+claim_within (struct roster *roster, clk_ms spread_ms)
 {
   struct kernel *kernel = roster->base.kernel;
   if (roster->claim.slot != 0)
     return;
-  clk_ms due_ms = kernel_now (kernel)
-                  + (clk_ms)rng_below (kernel_rng (kernel), ROSTER_SPREAD_MS);
+  clk_ms due_ms
+      = kernel_now (kernel)
+        + (clk_ms)rng_below (kernel_rng (kernel), (uint64_t)spread_ms);
   if (due_ms < roster->yield_until_ms)
     due_ms = roster->yield_until_ms;
   kernel_timer_set (kernel, &roster->claim, due_ms);
 }
 
+static void
+claim_soon (struct roster *roster)
+{
+  claim_within (roster, ROSTER_SPREAD_MS);
+}
+
 static void
 claimed (void *arg, const struct platform_reply *reply)
 {
@@ -343,7 +337,9 @@
     lease_lost (roster->duty_lease);
   else if (reply->status == PLATFORM_CONFLICT)
     lease_end (roster->duty_lease);
-  if (reply->status != PLATFORM_OK && find_key (roster, DUTY_KEY) == NULL)
+  /* After a conflict the mirror tells when the other holder is gone.  */
+  if (reply->status != PLATFORM_OK && reply->status != PLATFORM_CONFLICT
+      && find_key (roster, DUTY_KEY) == NULL)
     claim_soon (roster);
 }
 
@@ -441,6 +437,7 @@
              LOG_U ("token", key != NULL ? key->created : 0),
              LOG_U ("mine", mine));
   groups_set_watch (roster->groups, mine);
+  mirror_set_prompt (roster->mirror, mine);
   if (key == NULL)
     claim_soon (roster);
   else if (!mine && lease_wanted (roster->duty_lease) && !roster->duty_call)
@@ -451,8 +448,17 @@
 drop_key (struct roster *roster, struct roster_key *key)
 {
   bool duty = strcmp (key->name, DUTY_KEY) == 0;
+  bool host = is_host_key (key->name);
+  char own[KEY_BYTES];
+  own_host_key (roster, own);
+  bool own_gone = strcmp (key->name, own) == 0;
   HASH_DEL (roster->keys, key);
   free (key);
+  if (host)
+    count_hosts (roster);
+  /* The registration of an earlier process stood in the way.  */
+  if (own_gone)
+    register_host (roster);
   if (duty)
     duty_changed (roster);
 }
@@ -477,6 +483,8 @@
   key->revision = item->index;
   key->created = item->created;
   snprintf (key->value, sizeof key->value, "%s", item->value);
+  if (is_new && is_host_key (key->name))
+    count_hosts (roster);
   if (!changed)
     return;
   if (strcmp (key->name, DUTY_KEY) == 0)
@@ -490,6 +498,8 @@
   struct roster_key *key = find_key (roster, name);
   if (key != NULL && key->revision <= revision)
     drop_key (roster, key);
+  else if (key == NULL && strcmp (name, DUTY_KEY) == 0)
+    claim_soon (roster);
 }
 
 static void
@@ -512,7 +522,7 @@
       drop_key (roster, key);
   }
   if (find_key (roster, DUTY_KEY) == NULL)
-    claim_soon (roster);
+    claim_within (roster, ROSTER_START_SPREAD_MS);
 }
 
 static void
@@ -523,7 +533,6 @@
     return;
   lease_wake (roster->host_lease);
   lease_wake (roster->duty_lease);
-  roster->regained (roster->arg);
   if (find_key (roster, DUTY_KEY) == NULL)
     claim_soon (roster);
 }
@@ -532,7 +541,8 @@
 roster_start (struct module *module)
 {
   struct roster *roster = (struct roster *)module;
-  struct mirror_events events = { .item = on_item,
+  struct mirror_events events = { .prefix = PREFIX,
+                                  .item = on_item,
                                   .removed = on_removed,
                                   .begin_list = on_begin_list,
                                   .end_list = on_end_list,
@@ -541,23 +551,16 @@
   snprintf (roster->self, sizeof roster->self, "%s %llu", roster->host,
             (unsigned long long)rng_u64 (kernel_rng (module->kernel)));
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
-  struct mirror_options options = { .kernel = module->kernel,
-                                    .port = roster->store,
-                                    .prefix = NOW_PREFIX,
-                                    .retry_ms = MIRROR_RETRY_LAST_MS };
-  roster->mirror = mirror_new (&options, &events);
+  roster->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
+  mirror_subscribe (roster->mirror, &events);
   roster->host_lease = lease_new (module->kernel, roster->store, "host_lease",
                                   ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
                                   host_lease_gained, roster);
   roster->duty_lease = lease_new (module->kernel, roster->store, "duty_lease",
                                   ROSTER_DUTY_LEASE_MS, ROSTER_DUTY_RENEW_MS,
                                   duty_lease_gained, roster);
-  roster->count = (struct ktimer){ .fire = on_count, .arg = roster };
   roster->claim = (struct ktimer){ .fire = on_claim, .arg = roster };
-  mirror_start (roster->mirror);
   lease_begin (roster->host_lease);
-  kernel_timer_set (module->kernel, &roster->count,
-                    now_ms (roster) + ROSTER_COUNT_FIRST_MS);
 }
 
 static void
@@ -566,7 +569,6 @@
   struct roster *roster = (struct roster *)module;
   struct roster_key *key, *next;
   struct roster_report_state *state, *following;
-  mirror_free (roster->mirror);
   lease_free (roster->host_lease);
   lease_free (roster->duty_lease);
   HASH_ITER (hh, roster->keys, key, next)
@@ -592,8 +594,6 @@
   roster->base.ops = &roster_ops;
   roster->base.name = "roster";
   roster->store = options->store;
-  roster->regained = options->regained;
-  roster->arg = options->arg;
   text_copy (roster->host, sizeof roster->host, options->host);
   text_copy (roster->zone, sizeof roster->zone, options->zone);
   return roster;
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -4,11 +4,11 @@
    A host's registration and reports stand under a lease of its own; the duty
    to promote, which one host has, under a shorter one.  The fencing token of
    the duty is the revision at which its key was created: it rises with each
-   holder.  Hosts are only counted, now and then; the rest is watched.
+   holder.
 
      savoryway/hosts/HOST                 failure domain
-     savoryway/now/duty                   "HOST INCARNATION"
-     savoryway/now/reports/GROUP/HOST     "INSTANCE DOMAIN": HOST, of the
+     savoryway/duty                       "HOST INCARNATION"
+     savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of the
                                           failure domain, can't reach it
 
    Module name: "roster".  */
@@ -27,18 +27,14 @@
 #define ROSTER_HOST_LEASE_MS 8000
 #define ROSTER_HOST_RENEW_MS 2500
 
-/* Hosts are counted after the first span, for those that start together, and
-   then every second one.  */
-#define ROSTER_COUNT_FIRST_MS 1000
-#define ROSTER_COUNT_MS 15000
-
 #define ROSTER_CALL_TIMEOUT_MS 700
 
 #define ROSTER_DOMAINS 32
 
-/* Spread of the attempts to take the duty, so that one host wins before the
-   others ask.  */
+/* Spread of the attempts to take the duty, so that one host wins before most
+   others ask; the longer one when all start together.  */
 #define ROSTER_SPREAD_MS 200
+#define ROSTER_START_SPREAD_MS 2500
 
 /* A host that gave the duty up does not take it for this long.  */
 #define ROSTER_YIELD_MS 4000
@@ -48,9 +44,6 @@
   struct platform_port *store;
   const char *host;
   const char *zone;
-  /* Called when the store answers again.  */
-  void (*regained) (void *arg);
-  void *arg;
 };
 
 struct roster;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include "proxy/caller.h"
 #include "proxy/catalog.h"
 #include "proxy/group.h"
+#include "proxy/mirror.h"
 #include "proxy/promoter.h"
 #include "proxy/roster.h"
 
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -230,13 +230,12 @@
                const char *text, bool writes)
 {
   char values[VALUES_BYTES];
-  struct fleet_run_note note
-      = { .id = sent->id,
-          .text = text,
-          .link = link->serial,
-          .tx = link->state == TX_OPEN ? link->tx : 0,
-          .values = values,
-          .position = link->instance->applied };
+  struct fleet_run_note note = { .id = sent->id,
+                                 .text = text,
+                                 .link = link->serial,
+                                 .tx = link->state == TX_OPEN ? link->tx : 0,
+                                 .values = values,
+                                 .position = link->instance->applied };
   print_values (&link->values, values);
   oracle_ran (link->fleet, &note, writes);
   if (writes && link->state == TX_OPEN)
@@ -443,11 +442,11 @@
     return;
   link->running = true;
   bool works = takes_slot (link->queue[link->head].kind);
-  later (link,
-         NET_MS
-             + (works ? (clk_ms)rng_below (&link->fleet->rng, 2 * WORK_MS)
-                      : 0),
-         execute);
+  later (
+      link,
+      NET_MS
+          + (works ? (clk_ms)rng_below (&link->fleet->rng, 2 * WORK_MS) : 0),
+      execute);
 }
 
 static void
@@ -487,10 +486,10 @@
 link_open (struct instance_port *port, const struct instance_target *target,
            const struct instance_events *events, void *arg)
 {
-  struct fleet_host *host = (struct fleet_host *)(void *)((char *)port
-                                                          - offsetof (
-                                                              struct fleet_host,
-                                                              instances));
+  struct fleet_host *host
+      = (struct fleet_host *)(void *)((char *)port
+                                      - offsetof (struct fleet_host,
+                                                  instances));
   struct fleet *fleet = host->fleet;
   struct instance_link *link = mem_zalloc (sizeof *link);
   link->fleet = fleet;
@@ -501,8 +500,8 @@
   link->instance = &fleet->instances[target->port - 1000];
   if (strcmp (link->instance->id, target->id) != 0
       || strcmp (target->group, FLEET_GROUP) != 0)
-    fleet_break (fleet, "connected to %s under the id %s",
-                 link->instance->id, target->id);
+    fleet_break (fleet, "connected to %s under the id %s", link->instance->id,
+                 target->id);
   later (link, 2 * NET_MS, opened);
   return link;
 }
@@ -604,8 +603,7 @@
   struct order *order = arg;
   struct fleet *fleet = order->fleet;
   bool fenced = order->token < fleet->token;
-  bool alive
-      = order->host->running && order->host->kernel == order->kernel;
+  bool alive = order->host->running && order->host->kernel == order->kernel;
   if (!fenced)
     fleet->token = order->token;
   if (fenced || fleet->instances[order->instance].dark)
@@ -624,10 +622,9 @@
 promote (struct promote_port *port, const char *group, const char *instance,
          const char *holder, uint64_t token, promote_done done, void *arg)
 {
-  struct fleet_host *host = (struct fleet_host *)(void *)((char *)port
-                                                          - offsetof (
-                                                              struct fleet_host,
-                                                              promote));
+  struct fleet_host *host
+      = (struct fleet_host *)(void *)((char *)port
+                                      - offsetof (struct fleet_host, promote));
   struct order *order = mem_zalloc (sizeof *order);
   (void)group;
   (void)holder;
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -22,7 +22,7 @@
   char values[VALUES_BYTES];   /* acknowledged when it was sent */
   bool in_tx;
   bool writes;
-  uint64_t tx_id; /* the caller's transaction */
+  uint64_t tx_id;  /* the caller's transaction */
   clk_ms since_ms; /* of the transaction's BEGIN, or of the statement */
   size_t runs;
   size_t commits;
@@ -131,16 +131,14 @@
   const struct fleet_caller *caller = asked->caller;
   bool bounded = strcmp (caller->database, FLEET_DATABASE_PRIMARY) != 0;
   bool session = strcmp (caller->database, FLEET_DATABASE_SESSION) == 0;
-  clk_ms limit_ms
-      = asked->since_ms - (bounded ? FLEET_STALENESS_MS : 0);
+  clk_ms limit_ms = asked->since_ms - (bounded ? FLEET_STALENESS_MS : 0);
   for (size_t i = 0; i < oracle->ack_count; i++)
     {
       const struct acknowledged *ack = &oracle->acks[i];
       bool must = ack->at_ms < limit_ms
                   || (session && ack->session == caller->session
                       && ack->at_ms < asked->since_ms);
-      if (must && !ack->rolled_back
-          && position.lsn < ack->position.lsn)
+      if (must && !ack->rolled_back && position.lsn < ack->position.lsn)
         fleet_break (fleet, "STALE: %s ran on %llu.%llu without %llu.%llu",
                      asked->id, (unsigned long long)position.term,
                      (unsigned long long)position.lsn,
@@ -375,8 +373,7 @@
   snprintf (expected, sizeof expected, "%s.%s\r\n", caller->server,
             caller->id);
   if (strcmp (signature + 9, expected) != 0)
-    fleet_break (fleet, "MIXED: %s has the answer %s", caller->id,
-                 signature);
+    fleet_break (fleet, "MIXED: %s has the answer %s", caller->id, signature);
   note_acknowledged (caller);
 }
 
@@ -431,8 +428,8 @@
 }
 
 static struct asked *
-note_asked (struct fleet_caller *caller, enum stmt_kind kind,
-            const char *text, const char *name, const char *rest)
+note_asked (struct fleet_caller *caller, enum stmt_kind kind, const char *text,
+            const char *name, const char *rest)
 {
   struct fleet *fleet = caller->host->fleet;
   const struct prepared_text *prepared
@@ -450,8 +447,7 @@
     used += (size_t)snprintf (asked->values + used, VALUES_BYTES - used,
                               "%s=%s;", caller->values.items[i].name,
                               caller->values.items[i].text);
-  asked->writes
-      = kind == STMT_WRITE || (prepared != NULL && prepared->writes);
+  asked->writes = kind == STMT_WRITE || (prepared != NULL && prepared->writes);
   asked->in_tx = caller->state != TX_IDLE;
   asked->tx_id = caller->tx_id;
   asked->since_ms = asked->in_tx ? caller->tx_since_ms : fleet_now (fleet);
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -270,8 +270,7 @@
 static bool
 is_served (const struct store_call *call)
 {
-  return !call->store->down
-         && (call->host == NULL || !call->host->store_cut);
+  return !call->store->down && (call->host == NULL || !call->host->store_cut);
 }
 
 static void
@@ -334,8 +333,8 @@
   HASH_ADD (hh, store->leases, id, sizeof lease->id, lease);
   extend (store, lease);
   snprintf (text, sizeof text, "%llu", (unsigned long long)lease->id);
-  finish (call, &(struct platform_reply){ .status = PLATFORM_OK,
-                                          .lease = text });
+  finish (call,
+          &(struct platform_reply){ .status = PLATFORM_OK, .lease = text });
 }
 
 static void
@@ -418,8 +417,8 @@
     {
       call->write = request->writes[0];
       snprintf (call->key, KEY_BYTES, "%s", call->write.key);
-      snprintf (call->value, VALUE_BYTES, "%.*s",
-                (int)call->write.value_bytes, call->write.value);
+      snprintf (call->value, VALUE_BYTES, "%.*s", (int)call->write.value_bytes,
+                call->write.value);
       if (call->write.lease != NULL)
         snprintf (call->lease, LEASE_BYTES, "%s", call->write.lease);
       call->write.key = call->key;
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -35,8 +35,7 @@
   later->fn = fn;
   later->arg = arg;
   later->timer = (struct ktimer){ .fire = fire_later, .arg = later };
-  kernel_timer_set (fleet->kernel, &later->timer,
-                    fleet->clk.now_ms + span_ms);
+  kernel_timer_set (fleet->kernel, &later->timer, fleet->clk.now_ms + span_ms);
 }
 
 static void
@@ -44,7 +43,8 @@
 {
   (void)arg;
   if (getenv ("FLEET_LOG") != NULL)
-    fprintf (stderr, "<%d>%lld %s\n", priority, (long long)clk_now (arg), line);
+    fprintf (stderr, "<%d>%lld %s\n", priority, (long long)clk_now (arg),
+             line);
 }
 
 void
@@ -134,22 +134,14 @@
   catalog_set_config (host->catalog, &config);
 }
 
-static void
-ignore_regained (void *arg)
-{
-  (void)arg;
-}
-
 void
 fleet_host_start (struct fleet_host *host)
 {
   struct fleet *fleet = host->fleet;
   struct groups_options groups
       = { .port = &host->instances, .zone = host->zone };
-  struct roster_options roster = { .store = &host->store,
-                                   .host = host->name,
-                                   .zone = host->zone,
-                                   .regained = ignore_regained };
+  struct roster_options roster
+      = { .store = &host->store, .host = host->name, .zone = host->zone };
   struct promoter_options promoter = { .port = &host->promote,
                                        .parse_status = fleet_status_parse,
                                        .host = host->name };
@@ -165,6 +157,7 @@
   kernel_register (host->kernel, roster_module (host->roster));
   kernel_register (host->kernel, promoter_module (host->promoter));
   kernel_register (host->kernel, callers_module (host->callers));
+  kernel_register (host->kernel, mirror_module (mirror_new (&host->store)));
   host->running = true;
   kernel_start (host->kernel);
   set_config (host);
