--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 PG_STANDIN_SRC := $(wildcard tests/standin/pg_*.c)
 PLATFORM_STANDIN_SRC := $(wildcard tests/standin/platform_*.c)
+FLEET_STANDIN_SRC := $(wildcard tests/standin/fleet_*.c)
 STANDIN_SRC := $(wildcard tests/standin/standin_*.c)
 UNIT_SRC := $(wildcard tests/unit/test_*.c)
 HARNESS_SRC := $(wildcard tests/fuzz/sim_*.c)
@@ -48,7 +49,7 @@
 
 UNIT_BIN := $(UNIT_SRC:tests/unit/%.c=$(BUILD)/%)
 BENCH_BIN := $(BENCH_SRC:bench/%.c=$(BUILD)/%)
-STANDINS := $(if $(PG_STANDIN_SRC),$(BUILD)/pg_standin) $(if $(PLATFORM_STANDIN_SRC),$(BUILD)/platform_standin)
+STANDINS := $(if $(PG_STANDIN_SRC),$(BUILD)/pg_standin) $(if $(PLATFORM_STANDIN_SRC),$(BUILD)/platform_standin) $(BUILD)/fleet_standin
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 
@@ -76,6 +77,10 @@
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ $(ALL_LIBS)
 
+$(BUILD)/fleet_standin: $(call obj,$(FLEET_STANDIN_SRC) $(STANDIN_SRC)) $(LIB)
+	@echo "  LD $@"
+	@$(CC) -o $@ $^ $(ALL_LIBS)
+
 $(UNIT_BIN): $(BUILD)/%: $(BUILD)/tests/unit/%.o $(call obj,$(HARNESS_SRC) $(FLEET_SRC) $(LOAD_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ -lcheck -lsubunit -lpthread -lrt $(ALL_LIBS)
--- a/src/cli/settings.c
+++ b/src/cli/settings.c
@@ -83,7 +83,7 @@
     return false;
   memcpy (endpoint->address, text, (size_t)(colon - text));
   if (!is_address (endpoint->address) || !parse_number (colon + 1, &port)
-      || port < 1 || port > UINT16_MAX)
+      || port < 0 || port > UINT16_MAX)
     return false;
   endpoint->port = (uint16_t)port;
   return true;
@@ -93,11 +93,13 @@
 read_endpoint (const struct reading *reading)
 {
   struct endpoint endpoint;
-  if (endpoint_parse (&endpoint, reading->text))
+  if (endpoint_parse (&endpoint, reading->text)
+      && endpoint.port >= reading->setting->min)
     *(char **)field_of (reading) = mem_strdup (reading->text);
   else
     findings_add (reading->findings, reading->place,
-                  "\"%s\" is not ADDRESS:PORT with an IP number",
+                  "\"%s\" is not ADDRESS:PORT with an IP number and a port "
+                  "that can be used",
                   reading->text);
 }
 
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -39,7 +39,7 @@
    the primary.  */
 #define GROUP_PRIMARY_COST_MS 12.0
 /* Round trip to another failure domain.  */
-#define GROUP_DOMAIN_COST_MS 3.0
+#define GROUP_DOMAIN_COST_MS 5.0
 /* A refusal for a position that is not there yet.  */
 #define GROUP_BEHIND_COST_MS 5.0
 /* A new connection, or the wait for one.  */
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -449,6 +449,7 @@
 {
   struct promoter *promoter = (struct promoter *)module;
   struct change *change, *next;
+  kernel_timer_cancel (module->kernel, &promoter->tick);
   HASH_ITER (hh, promoter->changes, change, next)
   {
     inquiry_free (change->inquiry);
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <uthash.h>
+#include <utlist.h>
 
 #include "kernel/mem.h"
 #include "kernel/text.h"
@@ -51,6 +52,8 @@
   struct roster *roster;
   roster_verified done;
   void *arg;
+  struct verification *prev;
+  struct verification *next;
 };
 
 struct roster
@@ -73,6 +76,7 @@
   bool leaving;
   struct ktimer claim;
   struct roster_report_state *reports;
+  struct verification *verifications;
 };
 
 static clk_ms
@@ -393,6 +397,7 @@
   void *done_arg = check->arg;
   uint64_t token;
   bool held = roster_holds (roster, &token);
+  DL_DELETE (roster->verifications, check);
   free (check);
   if (reply->status == PLATFORM_OK && reply->item_count == 1)
     held = held && strcmp (reply->items[0].value, roster->self) == 0
@@ -410,7 +415,10 @@
                                 .purpose = "duty_verify",
                                 .key = DUTY_KEY,
                                 .timeout_ms = ROSTER_CALL_TIMEOUT_MS };
-  *check = (struct verification){ roster, done, arg };
+  check->roster = roster;
+  check->done = done;
+  check->arg = arg;
+  DL_APPEND (roster->verifications, check);
   roster->store->ops->call (roster->store, &call, verified, check);
 }
 
@@ -569,6 +577,13 @@
   struct roster *roster = (struct roster *)module;
   struct roster_key *key, *next;
   struct roster_report_state *state, *following;
+  kernel_timer_cancel (module->kernel, &roster->claim);
+  while (roster->verifications != NULL)
+    {
+      struct verification *check = roster->verifications;
+      DL_DELETE (roster->verifications, check);
+      free (check);
+    }
   lease_free (roster->host_lease);
   lease_free (roster->duty_lease);
   HASH_ITER (hh, roster->keys, key, next)
--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,349 @@
+/* The platform's messages: statements, answers, the store, entries.  */
+
+#include <event2/buffer.h>
+
+#include "kernel/mem.h"
+#include "kernel/rng.h"
+#include "platform/entries.h"
+#include "platform/store_codec.h"
+#include "platform/wire.h"
+#include "unit.h"
+
+#define MUTATIONS 20000
+
+static struct wire_request request;
+static char line[512];
+static char text[512];
+
+static void
+parse (const char *message)
+{
+  snprintf (line, sizeof line, "%s", message);
+  wire_parse_request (&request, line, text);
+}
+
+static char *
+take (struct evbuffer *buffer)
+{
+  size_t length = evbuffer_get_length (buffer);
+  char *out = mem_zalloc (length + 1);
+  evbuffer_remove (buffer, out, length);
+  return out;
+}
+
+UNIT_PLAIN (test_statements_are_told_apart)
+{
+  static const struct
+  {
+    const char *message;
+    enum stmt_kind kind;
+  } rows[] = {
+    { "QUERY 1 BEGIN", STMT_BEGIN },
+    { "QUERY 1 BEGIN READ", STMT_BEGIN_READ },
+    { "QUERY 1 BEGIN WRITE", STMT_UNKNOWN },
+    { "QUERY 1 COMMIT", STMT_COMMIT },
+    { "QUERY 1 COMMIT now", STMT_UNKNOWN },
+    { "QUERY 1 ROLLBACK", STMT_ROLLBACK },
+    { "QUERY 1 READ 1a4", STMT_READ },
+    { "QUERY 1 READ", STMT_UNKNOWN },
+    { "QUERY 1 WRITE 1a4 data", STMT_WRITE },
+    { "QUERY 1 SET lang sw", STMT_SET },
+    { "QUERY 1 SET lang", STMT_UNKNOWN },
+    { "QUERY 1 PREPARE s1 READ q2c", STMT_PREPARE_READ },
+    { "QUERY 1 PREPARE s1 WRITE q2c", STMT_PREPARE_WRITE },
+    { "QUERY 1 PREPARE s1 BOTH q2c", STMT_UNKNOWN },
+    { "QUERY 1 EXECUTE s1 1a4 xk", STMT_EXECUTE },
+    { "QUERY 1 DEALLOCATE s1", STMT_DEALLOCATE },
+    { "QUERY 1 AFTER 3.1 READ a", STMT_UNKNOWN },
+    { "QUERY 1 STATUS", STMT_UNKNOWN },
+    { "QUERY 1 RESET", STMT_UNKNOWN },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      parse (rows[i].message);
+      ck_assert_int_eq (request.kind, WIRE_QUERY);
+      ck_assert_msg (request.statement.kind == rows[i].kind, "%s",
+                     rows[i].message);
+    }
+}
+
+UNIT_PLAIN (test_a_text_is_kept_to_the_letter)
+{
+  parse ("QUERY 5c0e WRITE 1a4  two blanks and  a tail ");
+  ck_assert_str_eq (request.statement.id, "5c0e");
+  ck_assert_str_eq (request.statement.text,
+                    "WRITE 1a4  two blanks and  a tail ");
+  struct evbuffer *out = evbuffer_new ();
+  wire_put_statement (out, &request.statement, NULL);
+  char *sent = take (out);
+  ck_assert_str_eq (sent,
+                    "QUERY 5c0e WRITE 1a4  two blanks and  a tail \r\n");
+  free (sent);
+  wire_put_statement (out, &request.statement, &(struct position){ 3, 1207 });
+  sent = take (out);
+  ck_assert_str_eq (sent, "QUERY 5c0e AFTER 3.1207 WRITE 1a4  two blanks and  "
+                          "a tail \r\n");
+  free (sent);
+  evbuffer_free (out);
+}
+
+UNIT_PLAIN (test_nothing_is_smuggled_into_an_instance)
+{
+  parse ("QUERY 1 READ a\nQUERY 2 WRITE a 1");
+  ck_assert_int_eq (request.kind, WIRE_MALFORMED);
+  parse ("QUERY 1 READ a\rQUERY 2 WRITE a 1");
+  ck_assert_int_eq (request.kind, WIRE_MALFORMED);
+  /* The mark of the system's own statements.  */
+  parse ("QUERY - STEPDOWN 9");
+  ck_assert_int_eq (request.kind, WIRE_MALFORMED);
+  parse ("QUERY -");
+  ck_assert_int_eq (request.kind, WIRE_MALFORMED);
+  parse ("");
+  ck_assert_int_eq (request.kind, WIRE_MALFORMED);
+}
+
+UNIT_PLAIN (test_answers_of_instances_are_read)
+{
+  struct answer answer = { 0 };
+  char ready[] = "READY E 3.1209";
+  ck_assert_int_eq (wire_parse_reply (&answer, ready), WIRE_READY);
+  ck_assert_int_eq (answer.state, TX_FAILED);
+  ck_assert (answer.has_position);
+  ck_assert_uint_eq (answer.position.lsn, 1209);
+  char none[] = "READY I -";
+  ck_assert_int_eq (wire_parse_reply (&answer, none), WIRE_READY);
+  ck_assert (!answer.has_position);
+  char error[] = "ERROR READONLY i-7f3a91c2";
+  ck_assert_int_eq (wire_parse_reply (&answer, error), WIRE_ERROR);
+  ck_assert_int_eq (answer.code, CODE_READONLY);
+  ck_assert_str_eq (answer.text, "i-7f3a91c2");
+  char unknown[] = "ERROR NEWCODE what";
+  ck_assert_int_eq (wire_parse_reply (&answer, unknown), WIRE_ERROR);
+  ck_assert_int_eq (answer.code, CODE_FAILED);
+  char odd[] = "READY X 1.2";
+  ck_assert_int_eq (wire_parse_reply (&answer, odd), WIRE_UNKNOWN);
+}
+
+UNIT_PLAIN (test_the_state_of_an_instance_is_read)
+{
+  struct instance_status status;
+  struct answer answer
+      = { .body = "ROW replica 3 3.1209 0 12 2 17\r\nCOMPLETE -\r\n" };
+  ck_assert (wire_parse_status (&status, &answer));
+  ck_assert (!status.is_primary);
+  ck_assert_uint_eq (status.received.lsn, 1209);
+  answer.body = "ROW replica x\r\n";
+  ck_assert (!wire_parse_status (&status, &answer));
+  answer.body = NULL;
+  ck_assert (!wire_parse_status (&status, &answer));
+}
+
+UNIT_PLAIN (test_answers_to_callers)
+{
+  struct evbuffer *out = evbuffer_new ();
+  struct answer answer
+      = { .code = CODE_BUSY, .text = "later", .state = TX_FAILED };
+  wire_put_answer (out, &answer);
+  answer = (struct answer){ .code = CODE_OK };
+  wire_put_answer (out, &answer);
+  char *sent = take (out);
+  ck_assert_str_eq (sent, "ERROR BUSY later\r\nREADY E -\r\n"
+                          "COMPLETE -\r\nREADY I -\r\n");
+  free (sent);
+  evbuffer_free (out);
+}
+
+static struct kv_answer
+store_answer (enum platform_call_kind kind, int code, const char *body)
+{
+  struct kv_answer answer;
+  store_codec.parse (&answer, kind, code, NULL, body, strlen (body));
+  return answer;
+}
+
+UNIT_PLAIN (test_a_watch_tells_changes_and_removals)
+{
+  struct kv_answer answer = store_answer (
+      PLATFORM_WATCH, 200,
+      "{\"events\":[{\"key\":\"my/leader\",\"value\":\"bm9kZS0x\","
+      "\"revision\":412,\"created\":400,\"lease\":7},"
+      "{\"key\":5},{\"key\":\"my/old\",\"revision\":413,\"removed\":true}],"
+      "\"as_of\":413}");
+  ck_assert_int_eq (answer.reply.status, PLATFORM_OK);
+  ck_assert_uint_eq (answer.reply.item_count, 2);
+  ck_assert_str_eq (answer.items[0].value, "node-1");
+  ck_assert_uint_eq (answer.items[0].created, 400);
+  ck_assert (answer.items[1].removed);
+  kv_answer_clear (&answer);
+  answer = store_answer (PLATFORM_WATCH, 410, "{}");
+  ck_assert_int_eq (answer.reply.status, PLATFORM_COMPACTED);
+}
+
+UNIT_PLAIN (test_lost_and_refused_calls_are_told_apart)
+{
+  ck_assert_int_eq (
+      store_answer (PLATFORM_WRITE, 503, "").reply.status,
+      PLATFORM_UNAVAILABLE);
+  ck_assert_int_eq (store_answer (PLATFORM_WRITE, 500, "").reply.status,
+                    PLATFORM_LOST);
+  ck_assert_int_eq (store_answer (PLATFORM_WRITE, 200, "cut").reply.status,
+                    PLATFORM_LOST);
+  ck_assert_int_eq (store_answer (PLATFORM_WRITE, 412, "{}").reply.status,
+                    PLATFORM_CONFLICT);
+  ck_assert_int_eq (store_answer (PLATFORM_RENEW, 404, "").reply.status,
+                    PLATFORM_NOT_FOUND);
+  ck_assert_int_eq (store_answer (PLATFORM_LIST, 200, "[]").reply.status,
+                    PLATFORM_UNAVAILABLE);
+  ck_assert_int_eq (store_answer (PLATFORM_LIST, 429, "").reply.status,
+                    PLATFORM_UNAVAILABLE);
+}
+
+UNIT_PLAIN (test_a_conditional_write_names_what_it_expects)
+{
+  struct platform_write write = { .key = "my/leader",
+                                  .value = "node-1",
+                                  .value_bytes = 6,
+                                  .lease = "77120" };
+  struct platform_call call
+      = { .kind = PLATFORM_WRITE, .writes = &write, .write_count = 1 };
+  struct kv_request built;
+  ck_assert (store_codec.build (&built, &call));
+  ck_assert_str_eq (
+      built.body,
+      "{\"expected\":[{\"key\":\"my/leader\",\"revision\":0}],"
+      "\"set_keys\":[{\"key\":\"my/leader\",\"value\":\"bm9kZS0x\","
+      "\"lease\":77120}],\"remove\":[]}");
+  kv_request_clear (&built);
+  write.erase = true;
+  write.expect_index = 9;
+  ck_assert (store_codec.build (&built, &call));
+  ck_assert_str_eq (built.body,
+                    "{\"expected\":[{\"key\":\"my/leader\",\"revision\":9}],"
+                    "\"set_keys\":[],\"remove\":[\"my/leader\"]}");
+  kv_request_clear (&built);
+}
+
+static bool
+parse_entry (struct instance_entry *entry, const char *key, const char *value)
+{
+  struct platform_item item = { .key = (char *)key,
+                                .value = (char *)value,
+                                .value_bytes = strlen (value),
+                                .index = 7 };
+  return entries_parse_instance (entry, &item);
+}
+
+UNIT_PLAIN (test_entries_of_other_writers_name_no_instance)
+{
+  struct instance_entry entry;
+  ck_assert (parse_entry (
+      &entry, "servers/i-1",
+      "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"capacity\":5,\"state\":\"draining\","
+      "\"db_role\":\"primary\",\"sequence\":4,\"born\":1}"));
+  ck_assert_str_eq (entry.address, "10.128.0.9");
+  ck_assert_uint_eq (entry.port, 8080);
+  ck_assert (entry.draining && entry.is_primary);
+  static const char *const foreign[] = {
+    "",
+    "[]",
+    "{}",
+    "\xff\xfe",
+    "{\"service\":5,\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"db_role\":\"replica\"}",
+    "{\"service\":\"s\",\"address\":\"host:1\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"db_role\":\"replica\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"db_role\":\"replica\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+    "\"state\":\"resting\",\"db_role\":\"replica\"}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+    "\"state\":\"ready\",\"db_role\":\"king\"}",
+  };
+  for (size_t i = 0; i < sizeof foreign / sizeof foreign[0]; i++)
+    ck_assert_msg (!parse_entry (&entry, "servers/i-1", foreign[i]), "%s",
+                   foreign[i]);
+}
+
+static const char *const config
+    = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"kind\":"
+      "\"read_your_writes\",\"timeout_ms\":1000,\"priority\":2,\"service\":"
+      "\"s\",\"max_staleness_ms\":2500},{\"host\":5}],\"services\":[{\"name\":"
+      "\"s\",\"max_conns\":72,\"sync_replicas\":0}],\"limits\":{"
+      "\"tx_idle_ms\":3000}}";
+
+UNIT_PLAIN (test_a_configuration_is_read)
+{
+  struct catalog_config out;
+  struct platform_item item = { .key = "op/config",
+                                .value = (char *)config,
+                                .value_bytes = strlen (config) };
+  ck_assert (entries_parse_config (&out, &item));
+  ck_assert_uint_eq (out.version, 7);
+  ck_assert_uint_eq (out.route_count, 1);
+  ck_assert_int_eq (out.routes[0].kind, ROUTE_SESSION);
+  ck_assert_uint_eq (out.groups[0].connections, 72);
+  ck_assert_int_eq (out.tx_idle_ms, 3000);
+  catalog_config_clear (&out);
+}
+
+/* Changes some bytes of SEED at random, or cuts it.  */
+static size_t
+mutate (struct rng *rng, const char *seed, char *out, size_t size)
+{
+  size_t length = strlen (seed);
+  if (length >= size)
+    length = size - 1;
+  memcpy (out, seed, length);
+  out[length] = '\0';
+  for (uint64_t n = rng_below (rng, 4); n > 0 && length > 0; n--)
+    out[rng_below (rng, length)] = (char)(1 + rng_below (rng, 255));
+  if (rng_below (rng, 4) == 0 && length > 0)
+    {
+      length = rng_below (rng, length);
+      out[length] = '\0';
+    }
+  return length;
+}
+
+UNIT_PLAIN (test_no_input_from_outside_is_fatal)
+{
+  static const char *const messages[]
+      = { "STARTUP lepu270 u3f1", "QUERY 5c0e PREPARE s1 WRITE q2c",
+          "QUERY 5c0e EXECUTE s1 1a4 xkqpwnzd", "QUERY 5c0e SET a b",
+          "ROW qhzk", "COMPLETE 7.1f3", "READY T 3.1209",
+          "ERROR READONLY i-7f3a91c2" };
+  static const char *const bodies[]
+      = { "{\"items\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\",\"revision\":4,"
+          "\"created\":3,\"lease\":0}],\"has_more\":true,\"as_of\":530}",
+          "{\"events\":[{\"key\":\"a\",\"revision\":4,\"removed\":true}],"
+          "\"as_of\":530}",
+          "{\"lease\":77120,\"ttl_ms\":3000}", "{\"revision\":412}" };
+  struct rng rng;
+  char out[1024], copy[1024];
+  rng_init (&rng, 11);
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      struct answer answer = { 0 };
+      struct kv_answer reply;
+      struct catalog_config parsed;
+      struct instance_entry entry;
+      size_t length = mutate (&rng, messages[i % 8], out, sizeof out);
+      memcpy (copy, out, length + 1);
+      wire_parse_request (&request, copy, text);
+      wire_parse_reply (&answer, out);
+      length = mutate (&rng, bodies[i % 4], out, sizeof out);
+      enum platform_call_kind kind
+          = (enum platform_call_kind)rng_below (&rng, PLATFORM_WATCH + 1);
+      store_codec.parse (&reply, kind, 200, NULL, out, length);
+      kv_answer_clear (&reply);
+      length = mutate (&rng, config, out, sizeof out);
+      struct platform_item item
+          = { .key = "servers/i-1", .value = out, .value_bytes = length };
+      if (entries_parse_config (&parsed, &item))
+        catalog_config_clear (&parsed);
+      entries_parse_instance (&entry, &item);
+    }
+}
+
+UNIT_MAIN ("wire", .plain_timeout_s = 60)
