Begin a watch again that misses what this host wrote

Change: a write's revision that the mirror has not reached after 2 s restarts the watch. The model of the store now drops cut watches as keep-alive does.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -20,6 +20,8 @@
   uint32_t failures;
   uint64_t call;
   struct ktimer retry;
+  uint64_t expected;
+  struct ktimer expect;
 };
 
 static void next_call (struct mirror *mirror);
@@ -189,6 +191,31 @@
   next_call (arg);
 }
 
+static void
+on_expect (void *arg)
+{
+  struct mirror *mirror = arg;
+  if (mirror->revision >= mirror->expected || mirror->call == 0
+      || mirror->listing)
+    return;
+  log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_silent",
+             LOG_U ("revision", mirror->revision),
+             LOG_U ("expected", mirror->expected));
+  mirror->port->ops->cancel (mirror->port, mirror->call);
+  next_call (mirror);
+}
+
+void
+mirror_expect (struct mirror *mirror, uint64_t revision)
+{
+  struct kernel *kernel = mirror->base.kernel;
+  if (revision <= mirror->expected)
+    return;
+  mirror->expected = revision;
+  kernel_timer_set (kernel, &mirror->expect,
+                    kernel_now (kernel) + MIRROR_EXPECT_MS);
+}
+
 static void
 mirror_start (struct module *module)
 {
@@ -204,6 +231,7 @@
   if (mirror->call != 0)
     mirror->port->ops->cancel (mirror->port, mirror->call);
   kernel_timer_cancel (module->kernel, &mirror->retry);
+  kernel_timer_cancel (module->kernel, &mirror->expect);
   free (mirror->after);
   free (mirror);
 }
@@ -220,6 +248,7 @@
   mirror->port = port;
   mirror->retry.fire = on_retry;
   mirror->retry.arg = mirror;
+  mirror->expect = (struct ktimer){ .fire = on_expect, .arg = mirror };
   return mirror;
 }
 
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -25,6 +25,8 @@
    must be in force.  */
 #define MIRROR_SETTLE_MS 900
 
+#define MIRROR_EXPECT_MS 2000
+
 #define MIRROR_SUBSCRIBERS 8
 
 struct mirror_events
@@ -52,6 +54,10 @@
 /* Sets whether changes are wanted without delay.  */
 void mirror_set_prompt (struct mirror *mirror, bool prompt);
 
+/* This host wrote what the store has at REVISION: a watch that does not tell
+   of it within MIRROR_EXPECT_MS has gone silent, and is begun again.  */
+void mirror_expect (struct mirror *mirror, uint64_t revision);
+
 /* Whether a full listing has been taken in.  */
 bool mirror_complete (const struct mirror *mirror);
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -124,6 +124,8 @@
 registered (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
+  if (reply->status == PLATFORM_OK)
+    mirror_expect (roster->mirror, reply->index);
   if (reply->status == PLATFORM_NOT_FOUND)
     lease_lost (roster->host_lease);
 }
@@ -201,6 +203,8 @@
 report_written (void *arg, const struct platform_reply *reply)
 {
   struct roster_report_state *state = arg;
+  if (reply->status == PLATFORM_OK)
+    mirror_expect (state->roster->mirror, reply->index);
   state->call = 0;
   if (reply->status == PLATFORM_NOT_FOUND)
     lease_lost (state->roster->host_lease);
@@ -331,6 +335,8 @@
 claimed (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
+  if (reply->status == PLATFORM_OK)
+    mirror_expect (roster->mirror, reply->index);
   roster->duty_call = false;
   log_event (kernel_log (roster->base.kernel), LOG_INFO, "duty_claim",
              LOG_S ("result", reply->status == PLATFORM_OK ? "won"
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -13,6 +13,7 @@
 #define KEY_BYTES 200
 #define VALUE_BYTES 160
 #define HISTORY 4096
+#define KEEPALIVE_MS 3000 /* until a cut connection is noticed */
 #define LEASE_BYTES 24
 
 struct store_key
@@ -322,6 +323,34 @@
   free (late);
 }
 
+static void
+schedule (struct store_call *call, clk_ms span_ms, void (*fn) (void *))
+{
+  struct late *late = mem_zalloc (sizeof *late);
+  *late = (struct late){ call->store, call->id };
+  fleet_later (call->store->fleet, span_ms, fn, late);
+}
+
+/* The connection of a watch that is cut fails; what the store had to tell is
+   told when it is not.  */
+static void
+keep_alive (void *arg)
+{
+  struct late *late = arg;
+  struct store_call *call = find_call (late->store, late->id);
+  if (call == NULL)
+    free (late);
+  else if (!is_served (call))
+    {
+      free (late);
+      finish_status (call, PLATFORM_UNAVAILABLE);
+    }
+  else if (call->waiting && answer_watch (call))
+    free (late);
+  else
+    fleet_later (late->store->fleet, KEEPALIVE_MS, keep_alive, late);
+}
+
 static void
 create_lease (struct store_call *call)
 {
@@ -353,7 +382,8 @@
       return;
     case PLATFORM_WATCH:
       call->waiting = true;
-      answer_watch (call);
+      if (!answer_watch (call))
+        schedule (call, KEEPALIVE_MS, keep_alive);
       return;
     case PLATFORM_WRITE:
       reply.status = write_key (store, &call->write, &reply.index);
@@ -386,14 +416,6 @@
   free (late);
 }
 
-static void
-schedule (struct store_call *call, clk_ms span_ms, void (*fn) (void *))
-{
-  struct late *late = mem_zalloc (sizeof *late);
-  *late = (struct late){ call->store, call->id };
-  fleet_later (call->store->fleet, span_ms, fn, late);
-}
-
 static uint64_t
 store_call (struct platform_port *port, const struct platform_call *request,
             platform_done done, void *arg)
