Let hosts tell each other of primaries and of a store that they can't reach

Cause: reports went through the store only. Change: module witness, over the ONC RPC port that existed: a host tells the others every 0.5 s while it can't reach a primary or the store, and takes it back. The holder of the duty goes on under its token while most failure domains can't reach the store (the platform checks fences); its lease's key is asked for only when the store answers. Hosts register their address; the secret between them is drawn by the first holder and kept in the store. Tests: a primary is replaced while the store is away, within 1 s plus the promotion; hosts that the store refuses are heard; a holder that is refused alone stops.

--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -98,6 +98,7 @@
   int64_t body_limit_bytes;
   int64_t header_limit_bytes;
   char *caller_endpoint;
+  char *host_endpoint;
   char *ready_endpoint;
   char *metrics_endpoint;
   char *store_endpoint;
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -20,14 +20,14 @@
 #define GROUP_SEARCH_MS 40
 
 /* The newest sample of a group in use is never older than this.  */
-#define GROUP_SAMPLE_MS 300
+#define GROUP_SAMPLE_MS 500
 
 /* How long a primary may be silent until it is asked, by the host that
    watches over it, and by all while one of them reports it.  */
 #define GROUP_WATCH_MS 200
 
 /* How long any instance may be silent until it is asked.  */
-#define GROUP_IDLE_MS 1000
+#define GROUP_IDLE_MS 2000
 
 /* A group without a read for this long is not sampled.  */
 #define GROUP_IN_USE_MS 5000
@@ -53,7 +53,7 @@
 
 /* An instance whose entry is gone gets no work after this: the platform
    counts work that reaches it later than its drain time.  */
-#define GROUP_GONE_MS 2500
+#define GROUP_GONE_MS 2000
 
 /* Connections of an instance that one host counts on at the most.  */
 #define GROUP_SHARE_LIMIT 6
--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -177,6 +177,12 @@
   return lease->id[0] != '\0' && kernel_now (lease->kernel) < lease->until_ms;
 }
 
+clk_ms
+lease_until_ms (const struct lease *lease)
+{
+  return lease->until_ms;
+}
+
 const char *
 lease_id (const struct lease *lease)
 {
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -30,6 +30,8 @@
 
 bool lease_wanted (const struct lease *lease);
 bool lease_valid (const struct lease *lease);
+/* When it ran or runs out.  */
+clk_ms lease_until_ms (const struct lease *lease);
 /* Its number as text; empty if there is none.  */
 const char *lease_id (const struct lease *lease);
 
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -23,7 +23,7 @@
 /* After a change the next watch begins so much later, so that changes that
    come together cost one call; well under the time in which a configuration
    must be in force.  */
-#define MIRROR_SETTLE_MS 900
+#define MIRROR_SETTLE_MS 1200
 
 #define MIRROR_EXPECT_MS 2000
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sodium.h>
 #include <uthash.h>
 #include <utlist.h>
 
@@ -12,18 +13,20 @@
 #include "proxy/group.h"
 #include "proxy/lease.h"
 #include "proxy/mirror.h"
+#include "proxy/witness.h"
 
 #define PREFIX "savoryway/"
 #define HOSTS_PREFIX PREFIX "hosts/"
 #define DUTY_KEY PREFIX "duty"
 #define REPORTS_PREFIX PREFIX "reports/"
+#define SECRET_KEY PREFIX "secret"
 #define KEY_BYTES 200
 
 /* A key of the store as it was last seen.  */
 struct roster_key
 {
   char name[KEY_BYTES];
-  char value[2 * NAME_BYTES];
+  char value[3 * NAME_BYTES];
   uint64_t revision;
   uint64_t created;
   bool listed;
@@ -62,7 +65,12 @@
   struct platform_port *store;
   char host[NAME_BYTES];
   char zone[NAME_BYTES];
-  char self[2 * NAME_BYTES]; /* "HOST INCARNATION" */
+  char self[2 * NAME_BYTES];         /* "HOST INCARNATION" */
+  char registration[3 * NAME_BYTES]; /* "DOMAIN ADDRESS PORT" */
+  void (*secret_known) (void *arg, const uint8_t *secret);
+  void *arg;
+  bool has_secret;
+  struct witness *witness;
   struct groups *groups;
   struct mirror *mirror;
   struct roster_key *keys;
@@ -102,7 +110,7 @@
           .value = value != NULL ? value : "",
           .value_bytes = value != NULL ? strlen (value) : 0,
           .expect_index = expected,
-          .lease = lease_id (lease),
+          .lease = lease != NULL ? lease_id (lease) : NULL,
           .erase = value == NULL };
   struct platform_call call = { .kind = PLATFORM_WRITE,
                                 .purpose = "roster",
@@ -137,8 +145,8 @@
   if (!lease_valid (roster->host_lease) || roster->leaving)
     return;
   own_host_key (roster, name);
-  write_key (roster, roster->host_lease, name, roster->zone, 0, registered,
-             roster);
+  write_key (roster, roster->host_lease, name, roster->registration, 0,
+             registered, roster);
 }
 
 static void
@@ -171,27 +179,45 @@
   return strncmp (name, HOSTS_PREFIX, strlen (HOSTS_PREFIX)) == 0;
 }
 
+/* Splits a registration, "DOMAIN ADDRESS PORT".  */
+static bool
+parse_registration (const struct roster_key *key, char zone[NAME_BYTES],
+                    struct peer_address *address)
+{
+  unsigned port;
+  *address = (struct peer_address){ 0 };
+  if (!text_copy (address->name, NAME_BYTES, key->name + strlen (HOSTS_PREFIX))
+      || sscanf (key->value, "%63s %63s %u", zone, address->address, &port)
+             != 3
+      || port > UINT16_MAX)
+    return false;
+  address->port = (uint16_t)port;
+  return true;
+}
+
 /* Counts the registered hosts; this one counts while its registration is on
    its way.  */
 static void
 count_hosts (struct roster *roster)
 {
-  char own[KEY_BYTES];
+  struct peer_address others[WITNESS_FANOUT], address;
   const struct roster_key *key;
-  own_host_key (roster, own);
+  char zone[NAME_BYTES];
+  size_t other_count = 0;
   roster->domain_count = 0;
-  roster->host_count = 0;
+  count_host (roster, roster->zone);
+  roster->host_count = 1;
   for (key = roster->keys; key != NULL; key = key->hh.next)
-    if (is_host_key (key->name))
-      {
-        count_host (roster, key->value);
-        roster->host_count++;
-      }
-  if (find_key (roster, own) == NULL)
     {
-      count_host (roster, roster->zone);
+      if (!is_host_key (key->name) || !parse_registration (key, zone, &address)
+          || strcmp (address.name, roster->host) == 0)
+        continue;
+      count_host (roster, zone);
       roster->host_count++;
+      if (other_count < WITNESS_FANOUT)
+        others[other_count++] = address;
     }
+  witness_set_hosts (roster->witness, others, other_count);
   groups_set_hosts (roster->groups, roster->host_count);
 }
 
@@ -255,6 +281,7 @@
               roster->zone);
   else
     state->wanted[0] = '\0';
+  witness_report (roster->witness, group, instance);
   send_report (state);
 }
 
@@ -268,29 +295,76 @@
          && strcmp (report + length + 1, domain) == 0;
 }
 
+/* Hosts of a failure domain that report an instance, in the store or
+   directly.  */
+struct report_count
+{
+  const struct roster *roster;
+  const char *group;
+  const char *instance;
+  const char *domain;
+  size_t count;
+};
+
+static bool
+reports_in_store (const struct report_count *counted, const char *host)
+{
+  char name[KEY_BYTES];
+  snprintf (name, sizeof name, REPORTS_PREFIX "%s/%s", counted->group, host);
+  const struct roster_key *key = find_key (counted->roster, name);
+  return key != NULL
+         && report_matches (key->value, counted->instance, counted->domain);
+}
+
+/* Counts HOST's direct report, unless the store has it too.  */
+static void
+count_voice (void *arg, const char *host, const char *zone)
+{
+  struct report_count *counted = arg;
+  counted->count += strcmp (zone, counted->domain) == 0
+                    && !reports_in_store (counted, host);
+}
+
 static size_t
-count_reports (const struct roster *roster, const char *prefix,
+count_reports (const struct roster *roster, const char *group,
                const char *instance, const char *domain)
 {
+  struct report_count counted = { roster, group, instance, domain, 0 };
+  char prefix[KEY_BYTES];
   const struct roster_key *key;
-  size_t count = 0;
+  snprintf (prefix, sizeof prefix, REPORTS_PREFIX "%s/", group);
   for (key = roster->keys; key != NULL; key = key->hh.next)
-    count += strncmp (key->name, prefix, strlen (prefix)) == 0
-             && report_matches (key->value, instance, domain);
-  return count;
+    counted.count += strncmp (key->name, prefix, strlen (prefix)) == 0
+                     && report_matches (key->value, instance, domain);
+  witness_each (roster->witness, group, instance, count_voice, &counted);
+  return counted.count;
+}
+
+/* Whether this host reports INSTANCE and the store does not have that.  */
+static bool
+reports_itself (const struct roster *roster, const char *group,
+                const char *instance)
+{
+  struct roster_report_state *state;
+  char own[KEY_BYTES];
+  HASH_FIND_STR (roster->reports, group, state);
+  if (state == NULL || !report_matches (state->wanted, instance, roster->zone))
+    return false;
+  report_key (state, own);
+  return find_key (roster, own) == NULL;
 }
 
 struct roster_view
 roster_reports (const struct roster *roster, const char *group,
                 const char *instance)
 {
-  char prefix[KEY_BYTES];
   struct roster_view view = { .domains = roster->domain_count };
-  snprintf (prefix, sizeof prefix, REPORTS_PREFIX "%s/", group);
   for (size_t i = 0; i < roster->domain_count; i++)
     {
       const struct roster_domain *domain = &roster->domains[i];
-      size_t reports = count_reports (roster, prefix, instance, domain->name);
+      size_t reports = count_reports (roster, group, instance, domain->name);
+      if (strcmp (domain->name, roster->zone) == 0)
+        reports += reports_itself (roster, group, instance);
       view.hosts += domain->hosts;
       view.hosts_reporting += reports;
       view.domains_reporting += 2 * reports >= domain->hosts;
@@ -300,15 +374,29 @@
 
 /* Duty.  */
 
+/* Whether the store is away for most failure domains, and not only for this
+   host.  */
+static bool
+store_is_away (const struct roster *roster)
+{
+  struct roster_view view
+      = roster_reports (roster, WITNESS_STORE, WITNESS_STORE);
+  return !mirror_reached (roster->mirror)
+         && 2 * view.domains_reporting > view.domains;
+}
+
 bool
 roster_holds (const struct roster *roster, uint64_t *token)
 {
   const struct roster_key *key = find_key (roster, DUTY_KEY);
-  if (key == NULL || !lease_valid (roster->duty_lease) || roster->leaving
-      || strcmp (key->value, roster->self) != 0)
+  if (key == NULL || roster->leaving || strcmp (key->value, roster->self) != 0)
     return false;
   *token = key->created;
-  return true;
+  if (lease_valid (roster->duty_lease))
+    return true;
+  return now_ms (roster) - lease_until_ms (roster->duty_lease)
+             < ROSTER_OUTAGE_MS
+         && store_is_away (roster);
 }
 
 static void
@@ -338,6 +426,8 @@
   if (reply->status == PLATFORM_OK)
     mirror_expect (roster->mirror, reply->index);
   roster->duty_call = false;
+  if (reply->status != PLATFORM_CONFLICT)
+    mirror_set_prompt (roster->mirror, true);
   log_event (kernel_log (roster->base.kernel), LOG_INFO, "duty_claim",
              LOG_S ("result", reply->status == PLATFORM_OK ? "won"
                               : reply->status == PLATFORM_CONFLICT
@@ -394,23 +484,38 @@
   lease_end (roster->duty_lease);
 }
 
+static void
+end_verification (struct verification *check, bool held)
+{
+  roster_verified done = check->done;
+  void *arg = check->arg;
+  DL_DELETE (check->roster->verifications, check);
+  free (check);
+  done (arg, held);
+}
+
 static void
 verified (void *arg, const struct platform_reply *reply)
 {
   struct verification *check = arg;
   struct roster *roster = check->roster;
-  roster_verified done = check->done;
-  void *done_arg = check->arg;
   uint64_t token;
   bool held = roster_holds (roster, &token);
-  DL_DELETE (roster->verifications, check);
-  free (check);
   if (reply->status == PLATFORM_OK && reply->item_count == 1)
     held = held && strcmp (reply->items[0].value, roster->self) == 0
            && reply->items[0].created == token;
   else if (reply->status == PLATFORM_NOT_FOUND)
     held = false;
-  done (done_arg, held);
+  end_verification (check, held);
+}
+
+/* The store is away: what this host knows decides.  */
+static void
+verify_alone (void *arg)
+{
+  struct verification *check = arg;
+  uint64_t token;
+  end_verification (check, roster_holds (check->roster, &token));
 }
 
 void
@@ -425,6 +530,11 @@
   check->done = done;
   check->arg = arg;
   DL_APPEND (roster->verifications, check);
+  if (!mirror_reached (roster->mirror))
+    {
+      kernel_defer (roster->base.kernel, verify_alone, check);
+      return;
+    }
   roster->store->ops->call (roster->store, &call, verified, check);
 }
 
@@ -441,11 +551,49 @@
 
 /* The mirror of the store.  */
 
+static void
+ignore_reply (void *arg, const struct platform_reply *reply)
+{
+  (void)arg;
+  (void)reply; /* the mirror tells what came of it */
+}
+
+/* Takes the secret between hosts from the store.  */
+static void
+take_secret (struct roster *roster, const char *text)
+{
+  uint8_t secret[ROSTER_SECRET_BYTES];
+  size_t length;
+  if (roster->has_secret
+      || sodium_hex2bin (secret, sizeof secret, text, strlen (text), NULL,
+                         &length, NULL)
+             != 0
+      || length != sizeof secret)
+    return;
+  roster->has_secret = true;
+  roster->secret_known (roster->arg, secret);
+}
+
+/* Draws the secret between hosts where there is none yet.  */
+static void
+ensure_secret (struct roster *roster)
+{
+  uint8_t secret[ROSTER_SECRET_BYTES];
+  char text[2 * ROSTER_SECRET_BYTES + 1];
+  if (find_key (roster, SECRET_KEY) != NULL)
+    return;
+  randombytes_buf (secret, sizeof secret);
+  sodium_bin2hex (text, sizeof text, secret, sizeof secret);
+  write_key (roster, NULL, SECRET_KEY, text, 0, ignore_reply, NULL);
+}
+
 static void
 duty_changed (struct roster *roster)
 {
   const struct roster_key *key = find_key (roster, DUTY_KEY);
   bool mine = key != NULL && strcmp (key->value, roster->self) == 0;
+  if (mine)
+    ensure_secret (roster);
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty",
              LOG_S ("holder", key != NULL ? key->value : NULL),
              LOG_U ("token", key != NULL ? key->created : 0),
@@ -499,6 +647,8 @@
   snprintf (key->value, sizeof key->value, "%s", item->value);
   if (is_new && is_host_key (key->name))
     count_hosts (roster);
+  if (strcmp (key->name, SECRET_KEY) == 0)
+    take_secret (roster, key->value);
   if (!changed)
     return;
   if (strcmp (key->name, DUTY_KEY) == 0)
@@ -543,6 +693,7 @@
 on_reach (void *arg, bool reached)
 {
   struct roster *roster = arg;
+  roster_report (roster, WITNESS_STORE, reached ? NULL : WITNESS_STORE);
   if (!reached)
     return;
   lease_wake (roster->host_lease);
@@ -566,6 +717,8 @@
             (unsigned long long)rng_u64 (kernel_rng (module->kernel)));
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
   roster->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
+  roster->witness = (struct witness *)kernel_find (module->kernel, "witness");
+  count_hosts (roster);
   mirror_subscribe (roster->mirror, &events);
   roster->host_lease = lease_new (module->kernel, roster->store, "host_lease",
                                   ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
@@ -617,6 +770,10 @@
   roster->store = options->store;
   text_copy (roster->host, sizeof roster->host, options->host);
   text_copy (roster->zone, sizeof roster->zone, options->zone);
+  snprintf (roster->registration, sizeof roster->registration, "%s %s %u",
+            options->zone, options->address, options->port);
+  roster->secret_known = options->secret_known;
+  roster->arg = options->arg;
   return roster;
 }
 
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -6,7 +6,8 @@
    the duty is the revision at which its key was created: it rises with each
    holder.
 
-     savoryway/hosts/HOST                 failure domain
+     savoryway/hosts/HOST                 "DOMAIN ADDRESS PORT"
+     savoryway/secret                     of the messages between hosts
      savoryway/duty                       "HOST INCARNATION"
      savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of the
                                           failure domain, can't reach it
@@ -24,11 +25,18 @@
 #define ROSTER_DUTY_RENEW_MS 450
 
 /* A host that died no longer counts after this.  */
-#define ROSTER_HOST_LEASE_MS 8000
-#define ROSTER_HOST_RENEW_MS 2500
+#define ROSTER_HOST_LEASE_MS 12000
+#define ROSTER_HOST_RENEW_MS 4000
 
 #define ROSTER_CALL_TIMEOUT_MS 700
 
+#define ROSTER_SECRET_BYTES 32
+
+/* For this long after its lease ran out a holder goes on while most failure
+   domains can't reach the store: nobody else can take the duty then, and the
+   platform refuses an older token once a newer one was used.  */
+#define ROSTER_OUTAGE_MS 15000
+
 #define ROSTER_DOMAINS 32
 
 /* Spread of the attempts to take the duty, so that one host wins before most
@@ -44,6 +52,11 @@
   struct platform_port *store;
   const char *host;
   const char *zone;
+  const char *address; /* at which other hosts reach this one */
+  uint16_t port;
+  /* Called once the secret between hosts is known.  */
+  void (*secret_known) (void *arg, const uint8_t *secret);
+  void *arg;
 };
 
 struct roster;
@@ -51,8 +64,8 @@
 struct roster *roster_new (const struct roster_options *options);
 struct module *roster_module (struct roster *roster);
 
-/* Whether this host holds the duty under a lease that has not run out; sets
-   TOKEN.  */
+/* Whether this host holds the duty, under a lease that has not run out or in
+   an outage of the store; sets TOKEN.  */
 bool roster_holds (const struct roster *roster, uint64_t *token);
 
 /* Asks the store whether this host still holds the duty.  HELD is false if
--- /dev/null
+++ b/src/proxy/witness.c
@@ -0,0 +1,247 @@
+#include "proxy/witness.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "kernel/mem.h"
+#include "kernel/text.h"
+
+/* What this host reports.  */
+struct own_report
+{
+  char group[NAME_BYTES];
+  char instance[NAME_BYTES]; /* empty: nothing */
+  bool taken_back;           /* still to be told */
+  UT_hash_handle hh;
+};
+
+/* What another host reported last of a group.  */
+struct voice
+{
+  char host[NAME_BYTES];
+  char zone[NAME_BYTES];
+  char group[NAME_BYTES];
+  char instance[NAME_BYTES];
+  clk_ms heard_ms;
+  struct voice *prev;
+  struct voice *next;
+};
+
+struct witness
+{
+  struct module base;
+  struct peer_port *port;
+  char host[NAME_BYTES];
+  char zone[NAME_BYTES];
+  struct own_report *reports;
+  struct voice *voices;
+  size_t host_count;
+  struct peer_address hosts[WITNESS_FANOUT];
+  struct ktimer tell;
+};
+
+static void
+on_reply (void *arg, enum peer_status status, const peer_message *reply)
+{
+  (void)arg;
+  (void)status; /* told again soon */
+  (void)reply;
+}
+
+static void
+tell_host (struct witness *witness, const struct own_report *report,
+           const struct peer_address *to)
+{
+  peer_message message = { .from = { .host = witness->host,
+                                     .domain = witness->zone },
+                           .body = { .kind = PEER_KIND_SUSPICION } };
+  message.body.peer_body_u.suspicion
+      = (peer_suspicion){ .database = (char *)report->group,
+                          .primary = (char *)report->instance,
+                          .suspected = report->instance[0] != '\0' };
+  witness->port->ops->call (witness->port, to, &message, WITNESS_CALL_MS,
+                            on_reply, witness);
+}
+
+static void
+drop_stale (struct witness *witness)
+{
+  clk_ms now_ms = kernel_now (witness->base.kernel);
+  struct voice *voice, *next;
+  DL_FOREACH_SAFE (witness->voices, voice, next)
+  {
+    if (now_ms - voice->heard_ms <= WITNESS_FRESH_MS)
+      continue;
+    DL_DELETE (witness->voices, voice);
+    free (voice);
+  }
+}
+
+static void
+on_tell (void *arg)
+{
+  struct witness *witness = arg;
+  struct kernel *kernel = witness->base.kernel;
+  struct own_report *report;
+  bool again = false;
+  drop_stale (witness);
+  for (report = witness->reports; report != NULL; report = report->hh.next)
+    {
+      if (report->instance[0] == '\0' && !report->taken_back)
+        continue;
+      again |= report->instance[0] != '\0';
+      report->taken_back = false;
+      for (size_t i = 0; witness->port != NULL && i < witness->host_count; i++)
+        tell_host (witness, report, &witness->hosts[i]);
+    }
+  if (again)
+    kernel_timer_set (kernel, &witness->tell,
+                      kernel_now (kernel) + WITNESS_TELL_MS);
+}
+
+void
+witness_report (struct witness *witness, const char *group,
+                const char *instance)
+{
+  struct kernel *kernel = witness->base.kernel;
+  struct own_report *report;
+  HASH_FIND_STR (witness->reports, group, report);
+  if (report == NULL && instance == NULL)
+    return;
+  if (report == NULL)
+    {
+      report = mem_zalloc (sizeof *report);
+      text_copy (report->group, sizeof report->group, group);
+      HASH_ADD_STR (witness->reports, group, report);
+    }
+  const char *wanted = instance != NULL ? instance : "";
+  if (strcmp (report->instance, wanted) == 0
+      || !text_copy (report->instance, sizeof report->instance, wanted))
+    return;
+  report->taken_back = instance == NULL;
+  kernel_timer_set (kernel, &witness->tell, kernel_now (kernel));
+}
+
+static struct voice *
+find_voice (struct witness *witness, const char *host, const char *group)
+{
+  struct voice *voice;
+  DL_FOREACH (witness->voices, voice)
+  {
+    if (strcmp (voice->host, host) == 0 && strcmp (voice->group, group) == 0)
+      return voice;
+  }
+  return NULL;
+}
+
+static void
+hear (struct witness *witness, const peer_message *message)
+{
+  const peer_suspicion *report = &message->body.peer_body_u.suspicion;
+  struct voice *voice
+      = find_voice (witness, message->from.host, report->database);
+  if (voice == NULL)
+    {
+      voice = mem_zalloc (sizeof *voice);
+      if (!text_copy (voice->host, NAME_BYTES, message->from.host)
+          || !text_copy (voice->zone, NAME_BYTES, message->from.domain)
+          || !text_copy (voice->group, NAME_BYTES, report->database))
+        {
+          free (voice);
+          return;
+        }
+      DL_APPEND (witness->voices, voice);
+    }
+  if (text_copy (voice->instance, NAME_BYTES, report->primary))
+    voice->heard_ms = kernel_now (witness->base.kernel);
+}
+
+static void
+on_message (void *arg, uint64_t call, const peer_message *message)
+{
+  struct witness *witness = arg;
+  peer_message reply = { .from = { .host = witness->host,
+                                   .domain = witness->zone },
+                         .body = { .kind = PEER_KIND_NONE } };
+  if (message->body.kind == PEER_KIND_SUSPICION)
+    hear (witness, message);
+  else
+    reply.body.kind = PEER_KIND_REFUSED;
+  witness->port->ops->reply (witness->port, call, &reply);
+}
+
+void
+witness_set_port (struct witness *witness, struct peer_port *port)
+{
+  witness->port = port;
+  port->ops->set_handler (port, on_message, witness);
+}
+
+void
+witness_set_hosts (struct witness *witness,
+                   const struct peer_address *addresses, size_t count)
+{
+  witness->host_count = count < WITNESS_FANOUT ? count : WITNESS_FANOUT;
+  memcpy (witness->hosts, addresses,
+          witness->host_count * sizeof *addresses);
+}
+
+void
+witness_each (struct witness *witness, const char *group,
+              const char *instance,
+              void (*fn) (void *arg, const char *host, const char *zone),
+              void *arg)
+{
+  clk_ms now_ms = kernel_now (witness->base.kernel);
+  const struct voice *voice;
+  DL_FOREACH (witness->voices, voice)
+  {
+    if (now_ms - voice->heard_ms <= WITNESS_FRESH_MS
+        && strcmp (voice->group, group) == 0
+        && strcmp (voice->instance, instance) == 0)
+      fn (arg, voice->host, voice->zone);
+  }
+}
+
+static void
+witness_free (struct module *module)
+{
+  struct witness *witness = (struct witness *)module;
+  struct own_report *report, *next_report;
+  kernel_timer_cancel (module->kernel, &witness->tell);
+  HASH_ITER (hh, witness->reports, report, next_report)
+  {
+    HASH_DEL (witness->reports, report);
+    free (report);
+  }
+  while (witness->voices != NULL)
+    {
+      struct voice *voice = witness->voices;
+      DL_DELETE (witness->voices, voice);
+      free (voice);
+    }
+  free (witness);
+}
+
+static const struct module_ops witness_ops = { .free = witness_free };
+
+struct witness *
+witness_new (const struct witness_options *options)
+{
+  struct witness *witness = mem_zalloc (sizeof *witness);
+  witness->base.ops = &witness_ops;
+  witness->base.name = "witness";
+  text_copy (witness->host, sizeof witness->host, options->host);
+  text_copy (witness->zone, sizeof witness->zone, options->zone);
+  witness->tell = (struct ktimer){ .fire = on_tell, .arg = witness };
+  return witness;
+}
+
+struct module *
+witness_module (struct witness *witness)
+{
+  return &witness->base;
+}
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -18,6 +18,7 @@
 #include "proxy/mirror.h"
 #include "proxy/promoter.h"
 #include "proxy/roster.h"
+#include "proxy/witness.h"
 
 #define FLEET_HOSTS 6
 #define FLEET_INSTANCES 3
@@ -71,6 +72,11 @@
   struct instance_port instances;
   struct platform_port store;
   struct promote_port promote;
+  struct witness *witness;
+  bool peers_cut; /* from all other hosts */
+  struct peer_port peers;
+  peer_handler peer_handler;
+  void *peer_arg;
 };
 
 struct fleet *fleet_new (uint64_t seed, size_t hosts);
@@ -169,6 +175,7 @@
     __attribute__ ((format (printf, 2, 3)));
 void fleet_instance_ports (struct fleet_host *host);
 void fleet_store_ports (struct fleet_host *host);
+void fleet_peer_ports (struct fleet_host *host);
 struct fleet_store *fleet_store_new (struct fleet *fleet);
 void fleet_store_free (struct fleet_store *store);
 /* Drops the calls of a host that ended.  */
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -134,14 +134,28 @@
   catalog_set_config (host->catalog, &config);
 }
 
+static void
+open_peers (void *arg, const uint8_t *secret)
+{
+  struct fleet_host *host = arg;
+  (void)secret;
+  witness_set_port (host->witness, &host->peers);
+}
+
 void
 fleet_host_start (struct fleet_host *host)
 {
   struct fleet *fleet = host->fleet;
   struct groups_options groups
       = { .port = &host->instances, .zone = host->zone };
-  struct roster_options roster
-      = { .store = &host->store, .host = host->name, .zone = host->zone };
+  struct witness_options witness = { .host = host->name, .zone = host->zone };
+  struct roster_options roster = { .store = &host->store,
+                                   .host = host->name,
+                                   .zone = host->zone,
+                                   .address = "10.1.0.1",
+                                   .port = 7440,
+                                   .secret_known = open_peers,
+                                   .arg = host };
   struct promoter_options promoter = { .port = &host->promote,
                                        .parse_status = fleet_status_parse,
                                        .host = host->name };
@@ -149,11 +163,14 @@
   host->kernel = kernel_new (&fleet->clk.base, &host->rng, fleet->log);
   host->catalog = catalog_new ();
   host->groups = groups_new (&groups);
+  host->peer_handler = NULL;
+  host->witness = witness_new (&witness);
   host->roster = roster_new (&roster);
   host->promoter = promoter_new (&promoter);
   host->callers = callers_new ();
   kernel_register (host->kernel, catalog_module (host->catalog));
   kernel_register (host->kernel, groups_module (host->groups));
+  kernel_register (host->kernel, witness_module (host->witness));
   kernel_register (host->kernel, roster_module (host->roster));
   kernel_register (host->kernel, promoter_module (host->promoter));
   kernel_register (host->kernel, callers_module (host->callers));
@@ -207,6 +224,7 @@
       snprintf (host->zone, NAME_BYTES, "zone-%zu", i % FLEET_ZONES);
       fleet_instance_ports (host);
       fleet_store_ports (host);
+      fleet_peer_ports (host);
       fleet_host_start (host);
     }
   return fleet;
--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -235,8 +235,7 @@
     json_int_t stands
         = item != NULL && !item->removed ? (json_int_t)item->revision : 0;
     good = good
-           && stands
-                  == json_integer_value (json_object_get (row, "revision"));
+           && stands == json_integer_value (json_object_get (row, "revision"));
   }
   json_array_foreach (json_object_get (body, "set_keys"), i, row) if (good)
       put_key (json_string_value (json_object_get (row, "key")),
@@ -285,11 +284,11 @@
   (void)arg;
   evhttp_parse_query_str (text != NULL ? text : "", &query);
   if (strcmp (path, "/kv-range") == 0)
-    reply_json (request, 200,
-                json_pack ("{s:o, s:b, s:I}", "items",
-                           collect (evhttp_find_header (&query, "prefix"), 0,
-                                    false),
-                           "has_more", 0, "as_of", (json_int_t)revision));
+    reply_json (
+        request, 200,
+        json_pack ("{s:o, s:b, s:I}", "items",
+                   collect (evhttp_find_header (&query, "prefix"), 0, false),
+                   "has_more", 0, "as_of", (json_int_t)revision));
   else if (strcmp (path, "/kv-watch") == 0)
     on_watch (request, &query);
   else if (strcmp (path, "/kv-txn") == 0)
@@ -344,8 +343,7 @@
 }
 
 static void
-run_statement (struct connection *connection, const char *id,
-               const char *text)
+run_statement (struct connection *connection, const char *id, const char *text)
 {
   struct evbuffer *out = bufferevent_get_output (connection->bev);
   unsigned item;
@@ -370,12 +368,12 @@
                || strncmp (text, "STEPDOWN", 8) == 0)
         evbuffer_add_printf (
             out, "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 1\r\n",
-            leads (connection) && text[2] == 'A' ? "primary" : "replica",
-            term, term, number);
+            leads (connection) && text[2] == 'A' ? "primary" : "replica", term,
+            term, number);
       if (writes)
         number++;
-      evbuffer_add_printf (out, "COMPLETE %s.%s\r\n",
-                           connection->instance->id, id);
+      evbuffer_add_printf (out, "COMPLETE %s.%s\r\n", connection->instance->id,
+                           id);
     }
   put_ready (connection);
 }
@@ -448,8 +446,8 @@
   int length;
   address_parse ("127.0.0.1", port, &address, &length);
   instance->listener = evconnlistener_new_bind (
-      base, on_accept, instance, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-      -1, (struct sockaddr *)&address, length);
+      base, on_accept, instance, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      (struct sockaddr *)&address, length);
   if (instance->listener == NULL)
     abort ();
   instance->port
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -159,8 +159,11 @@
 {
   struct fleet_host *host
       = fleet_host (s->fleet, below (s, s->fleet->host_count));
-  switch (below (s, 8))
+  switch (below (s, 9))
     {
+    case 8:
+      host->peers_cut = !host->peers_cut;
+      break;
     case 0:
       fleet_store_down (s->fleet, below (s, 2));
       break;
@@ -200,6 +203,7 @@
     {
       struct fleet_host *host = fleet_host (s->fleet, i);
       host->store_cut = false;
+      host->peers_cut = false;
       memset (host->cut, 0, sizeof host->cut);
       if (!host->running)
         fleet_host_start (host);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -2,7 +2,9 @@
 #include "tests/fleet/fleet.h"
 #include "unit.h"
 
-#define SETTLE_MS 2000
+/* The first holder of the duty is found within 2.5 s, and draws the secret
+   between hosts.  */
+#define SETTLE_MS 5000
 #define ANSWER_MS 1500
 
 static struct fleet *fleet;
@@ -288,6 +290,43 @@
   ck_assert_uint_gt (token, first);
 }
 
+UNIT_TEST (test_a_primary_is_replaced_while_the_store_is_away)
+{
+  fleet_store_down (fleet, true);
+  fleet_run (fleet, 4000);
+  fleet_instance (fleet, 0)->dark = true;
+  clk_ms gap_ms = write_gap_ms (fleet_host (fleet, 1));
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+  ck_assert_int_le (gap_ms, 1000 + FLEET_PROMOTE_MS);
+  fleet_store_down (fleet, false);
+  fleet_run (fleet, 5000);
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+}
+
+UNIT_TEST (test_hosts_that_the_store_refuses_are_heard_by_the_holder)
+{
+  uint64_t token;
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->store_cut
+        = !roster_holds (fleet_host (fleet, i)->roster, &token);
+  fleet_run (fleet, 4000);
+  fleet_instance (fleet, 0)->dark = true;
+  write_gap_ms (fleet_host (fleet, 1));
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+}
+
+UNIT_TEST (test_a_holder_that_the_store_refuses_alone_stops)
+{
+  uint64_t token;
+  size_t holder = 0;
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (roster_holds (fleet_host (fleet, i)->roster, &token))
+      holder = i;
+  fleet_host (fleet, holder)->store_cut = true;
+  fleet_run (fleet, ROSTER_DUTY_LEASE_MS + 100);
+  ck_assert (!roster_holds (fleet_host (fleet, holder)->roster, &token));
+}
+
 UNIT_TEST (test_a_store_that_forgot_its_history_is_read_anew)
 {
   fleet_store_compact (fleet);
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -119,11 +119,26 @@
   ck_abort_msg ("no line of %s", interface);
 }
 
+/* A port that nothing listens on.  */
+static unsigned
+free_port (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&address, length), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&address, &length), 0);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
 static void
 set_up (void)
 {
   char *none[] = { NULL, NULL };
   int out[2];
+  char *peers = mem_printf ("--host-endpoint=127.0.0.1:%u", free_port ());
   standin_spawn (&fleet, "fleet_standin", none);
   char *store = mem_printf ("--store-endpoint=127.0.0.1:%u",
                             standin_port (&fleet, "store="));
@@ -139,6 +154,7 @@
                    "--shutdown-limit-s=4",
                    store,
                    promote,
+                   peers,
                    NULL };
   ck_assert_int_eq (pipe2 (out, O_CLOEXEC), 0);
   host = standin_start ("savoryway", argv, (const int[]){ -1, out[1], -1 });
@@ -149,6 +165,7 @@
   metrics = read_port ("metrics");
   free (store);
   free (promote);
+  free (peers);
   for (int i = 0; strstr (get (ready, "/readyz"), " 200 ") == NULL; i++)
     {
       ck_assert_int_lt (i, READY_TRIES);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -76,8 +76,7 @@
   struct evbuffer *out = evbuffer_new ();
   wire_put_statement (out, &request.statement, NULL);
   char *sent = take (out);
-  ck_assert_str_eq (sent,
-                    "QUERY 5c0e WRITE 1a4  two blanks and  a tail \r\n");
+  ck_assert_str_eq (sent, "QUERY 5c0e WRITE 1a4  two blanks and  a tail \r\n");
   free (sent);
   wire_put_statement (out, &request.statement, &(struct position){ 3, 1207 });
   sent = take (out);
@@ -181,9 +180,8 @@
 
 UNIT_PLAIN (test_lost_and_refused_calls_are_told_apart)
 {
-  ck_assert_int_eq (
-      store_answer (PLATFORM_WRITE, 503, "").reply.status,
-      PLATFORM_UNAVAILABLE);
+  ck_assert_int_eq (store_answer (PLATFORM_WRITE, 503, "").reply.status,
+                    PLATFORM_UNAVAILABLE);
   ck_assert_int_eq (store_answer (PLATFORM_WRITE, 500, "").reply.status,
                     PLATFORM_LOST);
   ck_assert_int_eq (store_answer (PLATFORM_WRITE, 200, "cut").reply.status,
@@ -200,10 +198,9 @@
 
 UNIT_PLAIN (test_a_conditional_write_names_what_it_expects)
 {
-  struct platform_write write = { .key = "my/leader",
-                                  .value = "node-1",
-                                  .value_bytes = 6,
-                                  .lease = "77120" };
+  struct platform_write write = {
+    .key = "my/leader", .value = "node-1", .value_bytes = 6, .lease = "77120"
+  };
   struct platform_call call
       = { .kind = PLATFORM_WRITE, .writes = &write, .write_count = 1 };
   struct kv_request built;
@@ -308,11 +305,14 @@
 
 UNIT_PLAIN (test_no_input_from_outside_is_fatal)
 {
-  static const char *const messages[]
-      = { "STARTUP lepu270 u3f1", "QUERY 5c0e PREPARE s1 WRITE q2c",
-          "QUERY 5c0e EXECUTE s1 1a4 xkqpwnzd", "QUERY 5c0e SET a b",
-          "ROW qhzk", "COMPLETE 7.1f3", "READY T 3.1209",
-          "ERROR READONLY i-7f3a91c2" };
+  static const char *const messages[] = { "STARTUP lepu270 u3f1",
+                                          "QUERY 5c0e PREPARE s1 WRITE q2c",
+                                          "QUERY 5c0e EXECUTE s1 1a4 xkqpwnzd",
+                                          "QUERY 5c0e SET a b",
+                                          "ROW qhzk",
+                                          "COMPLETE 7.1f3",
+                                          "READY T 3.1209",
+                                          "ERROR READONLY i-7f3a91c2" };
   static const char *const bodies[]
       = { "{\"items\":[{\"key\":\"a\",\"value\":\"bm9kZS0x\",\"revision\":4,"
           "\"created\":3,\"lease\":0}],\"has_more\":true,\"as_of\":530}",
