Notice a store that refuses calls though a watch still waits

Cause: platform_down busy answers 503 to new calls and leaves waiting watches alone, so the holder of the duty took the store for reached and stopped with its lease; primaries lost in the outage were replaced after it. Change: every refused or unanswered call of lease, registration, report and claim counts; the holder then goes on as the hosts agree.

--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -16,6 +16,7 @@
   clk_ms ttl_ms;
   clk_ms renew_ms;
   void (*gained) (void *arg);
+  void (*answered) (void *arg, enum platform_status status);
   void *arg;
   char id[LEASE_ID_BYTES];
   clk_ms until_ms;
@@ -47,6 +48,7 @@
 {
   struct lease *lease = arg;
   lease->call = 0;
+  lease->answered (lease->arg, reply->status);
   lease->unanswered
       = reply->status != PLATFORM_OK && reply->status != PLATFORM_NOT_FOUND;
   if (reply->status == PLATFORM_NOT_FOUND)
@@ -96,7 +98,9 @@
 struct lease *
 lease_new (struct kernel *kernel, struct platform_port *store,
            const char *purpose, clk_ms ttl_ms, clk_ms renew_ms,
-           void (*gained) (void *arg), void *arg)
+           void (*gained) (void *arg),
+           void (*answered) (void *arg, enum platform_status status),
+           void *arg)
 {
   struct lease *lease = mem_zalloc (sizeof *lease);
   lease->kernel = kernel;
@@ -105,6 +109,7 @@
   lease->ttl_ms = ttl_ms;
   lease->renew_ms = renew_ms;
   lease->gained = gained;
+  lease->answered = answered;
   lease->arg = arg;
   lease->timer = (struct ktimer){ .fire = on_timer, .arg = lease };
   return lease;
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -14,10 +14,11 @@
 
 struct lease;
 
-/* GAINED is called when a new lease holds.  */
-struct lease *lease_new (struct kernel *kernel, struct platform_port *store,
-                         const char *purpose, clk_ms ttl_ms, clk_ms renew_ms,
-                         void (*gained) (void *arg), void *arg);
+/* GAINED is called when a new lease holds, ANSWERED after each call.  */
+struct lease *lease_new (
+    struct kernel *kernel, struct platform_port *store, const char *purpose,
+    clk_ms ttl_ms, clk_ms renew_ms, void (*gained) (void *arg),
+    void (*answered) (void *arg, enum platform_status status), void *arg);
 void lease_free (struct lease *lease);
 
 /* Asks for the lease and renews it until lease_end.  */
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -46,6 +46,7 @@
   char group[NAME_BYTES];
   char wanted[2 * NAME_BYTES]; /* empty: no report */
   uint64_t call;
+  clk_ms again_ms; /* earliest next write */
   struct roster *roster;
   UT_hash_handle hh;
 };
@@ -70,6 +71,7 @@
   void (*secret_known) (void *arg, const uint8_t *secret);
   void *arg;
   bool has_secret;
+  bool store_refuses; /* the last call was refused or not answered */
   struct witness *witness;
   struct groups *groups;
   struct mirror *mirror;
@@ -120,6 +122,22 @@
   roster->store->ops->call (roster->store, &call, done, arg);
 }
 
+/* Notes how the store met a call.  A watch that waits tells nothing of a
+   store that refuses all else.  */
+static void
+note_store (struct roster *roster, enum platform_status status)
+{
+  bool refuses = status == PLATFORM_UNAVAILABLE || status == PLATFORM_LOST;
+  if (refuses == roster->store_refuses)
+    return;
+  roster->store_refuses = refuses;
+  log_event (kernel_log (roster->base.kernel),
+             refuses ? LOG_WARNING : LOG_NOTICE,
+             refuses ? "store_refuses" : "store_accepts",
+             LOG_U ("reached", mirror_reached (roster->mirror)));
+  roster_report (roster, WITNESS_STORE, refuses ? WITNESS_STORE : NULL);
+}
+
 /* Registration.  */
 
 static void
@@ -132,6 +150,7 @@
 registered (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
+  note_store (roster, reply->status);
   if (reply->status == PLATFORM_OK)
     mirror_expect (roster->mirror, reply->index);
   if (reply->status == PLATFORM_NOT_FOUND)
@@ -149,6 +168,12 @@
              registered, roster);
 }
 
+static void
+lease_answered (void *arg, enum platform_status status)
+{
+  note_store (arg, status);
+}
+
 static void
 host_lease_gained (void *arg)
 {
@@ -229,9 +254,11 @@
 report_written (void *arg, const struct platform_reply *reply)
 {
   struct roster_report_state *state = arg;
+  note_store (state->roster, reply->status);
   if (reply->status == PLATFORM_OK)
     mirror_expect (state->roster->mirror, reply->index);
   state->call = 0;
+  state->again_ms = now_ms (state->roster) + ROSTER_REPORT_MS;
   if (reply->status == PLATFORM_NOT_FOUND)
     lease_lost (state->roster->host_lease);
 }
@@ -253,7 +280,8 @@
   const struct roster_key *key = find_key (roster, name);
   const char *stands = key != NULL ? key->value : "";
   if (state->call != 0 || !lease_valid (roster->host_lease)
-      || !mirror_reached (roster->mirror)
+      || !mirror_reached (roster->mirror) || now_ms (roster) < state->again_ms
+      || strcmp (state->group, WITNESS_STORE) == 0
       || strcmp (stands, state->wanted) == 0)
     return;
   state->call = 1;
@@ -381,8 +409,7 @@
 {
   struct roster_view view
       = roster_reports (roster, WITNESS_STORE, WITNESS_STORE);
-  return !mirror_reached (roster->mirror)
-         && 2 * view.domains_reporting > view.domains;
+  return roster->store_refuses && 2 * view.domains_reporting > view.domains;
 }
 
 bool
@@ -423,6 +450,7 @@
 claimed (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
+  note_store (roster, reply->status);
   if (reply->status == PLATFORM_OK)
     mirror_expect (roster->mirror, reply->index);
   roster->duty_call = false;
@@ -530,7 +558,7 @@
   check->done = done;
   check->arg = arg;
   DL_APPEND (roster->verifications, check);
-  if (!mirror_reached (roster->mirror))
+  if (roster->store_refuses)
     {
       kernel_defer (roster->base.kernel, verify_alone, check);
       return;
@@ -693,7 +721,7 @@
 on_reach (void *arg, bool reached)
 {
   struct roster *roster = arg;
-  roster_report (roster, WITNESS_STORE, reached ? NULL : WITNESS_STORE);
+  note_store (roster, reached ? PLATFORM_OK : PLATFORM_UNAVAILABLE);
   if (!reached)
     return;
   lease_wake (roster->host_lease);
@@ -722,10 +750,10 @@
   mirror_subscribe (roster->mirror, &events);
   roster->host_lease = lease_new (module->kernel, roster->store, "host_lease",
                                   ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
-                                  host_lease_gained, roster);
+                                  host_lease_gained, lease_answered, roster);
   roster->duty_lease = lease_new (module->kernel, roster->store, "duty_lease",
                                   ROSTER_DUTY_LEASE_MS, ROSTER_DUTY_RENEW_MS,
-                                  duty_lease_gained, roster);
+                                  duty_lease_gained, lease_answered, roster);
   roster->claim = (struct ktimer){ .fire = on_claim, .arg = roster };
   lease_begin (roster->host_lease);
 }
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -30,6 +30,9 @@
 
 #define ROSTER_CALL_TIMEOUT_MS 700
 
+/* Between two writes of a report.  */
+#define ROSTER_REPORT_MS 400
+
 #define ROSTER_SECRET_BYTES 32
 
 /* For this long after its lease ran out a holder goes on while most failure
--- a/src/proxy/witness.c
+++ b/src/proxy/witness.c
@@ -55,9 +55,9 @@
 tell_host (struct witness *witness, const struct own_report *report,
            const struct peer_address *to)
 {
-  peer_message message = { .from = { .host = witness->host,
-                                     .domain = witness->zone },
-                           .body = { .kind = PEER_KIND_SUSPICION } };
+  peer_message message
+      = { .from = { .host = witness->host, .domain = witness->zone },
+          .body = { .kind = PEER_KIND_SUSPICION } };
   message.body.peer_body_u.suspicion
       = (peer_suspicion){ .database = (char *)report->group,
                           .primary = (char *)report->instance,
@@ -163,9 +163,9 @@
 on_message (void *arg, uint64_t call, const peer_message *message)
 {
   struct witness *witness = arg;
-  peer_message reply = { .from = { .host = witness->host,
-                                   .domain = witness->zone },
-                         .body = { .kind = PEER_KIND_NONE } };
+  peer_message reply
+      = { .from = { .host = witness->host, .domain = witness->zone },
+          .body = { .kind = PEER_KIND_NONE } };
   if (message->body.kind == PEER_KIND_SUSPICION)
     hear (witness, message);
   else
@@ -185,13 +185,11 @@
                    const struct peer_address *addresses, size_t count)
 {
   witness->host_count = count < WITNESS_FANOUT ? count : WITNESS_FANOUT;
-  memcpy (witness->hosts, addresses,
-          witness->host_count * sizeof *addresses);
+  memcpy (witness->hosts, addresses, witness->host_count * sizeof *addresses);
 }
 
 void
-witness_each (struct witness *witness, const char *group,
-              const char *instance,
+witness_each (struct witness *witness, const char *group, const char *instance,
               void (*fn) (void *arg, const char *host, const char *zone),
               void *arg)
 {
--- a/tests/fleet/fleet_peers.c
+++ b/tests/fleet/fleet_peers.c
@@ -95,11 +95,11 @@
   host->peer_arg = arg;
 }
 
-static const struct peer_port_ops peer_ops = { .call = peer_call,
-                                               .cancel = peer_cancel,
-                                               .reply = peer_reply,
-                                               .set_handler
-                                               = peer_set_handler };
+static const struct peer_port_ops peer_ops
+    = { .call = peer_call,
+        .cancel = peer_cancel,
+        .reply = peer_reply,
+        .set_handler = peer_set_handler };
 
 void
 fleet_peer_ports (struct fleet_host *host)
