Remove a report that outlived the process that made it

Change: a host removes a report under its name that it does not make; a host's lease is 6 s. Test: test_a_report_ends_with_the_process_that_made_it failed before.

--- a/src/cli/cmd_trace.c
+++ b/src/cli/cmd_trace.c
@@ -80,8 +80,8 @@
               event);
       return;
     }
-  printf ("%s %s (%s) after %s ms and %s attempts; last instance %s%s%s\n",
-          id, meaning (code), code, spent, attempts,
+  printf ("%s %s (%s) after %s ms and %s attempts; last instance %s%s%s\n", id,
+          meaning (code), code, spent, attempts,
           instance[0] != '\0' ? instance : "none",
           strcmp (why, "-") != 0 ? "; cause: " : "",
           strcmp (why, "-") != 0 ? why : "");
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -290,20 +290,28 @@
              key != NULL ? key->revision : 0, report_written, state);
 }
 
+static struct roster_report_state *
+ensure_report (struct roster *roster, const char *group)
+{
+  struct roster_report_state *state;
+  HASH_FIND_STR (roster->reports, group, state);
+  if (state != NULL)
+    return state;
+  state = mem_zalloc (sizeof *state);
+  state->roster = roster;
+  text_copy (state->group, sizeof state->group, group);
+  HASH_ADD_STR (roster->reports, group, state);
+  return state;
+}
+
 void
 roster_report (struct roster *roster, const char *group, const char *instance)
 {
   struct roster_report_state *state;
   HASH_FIND_STR (roster->reports, group, state);
-  if (state == NULL)
-    {
-      if (instance == NULL)
-        return;
-      state = mem_zalloc (sizeof *state);
-      state->roster = roster;
-      text_copy (state->group, sizeof state->group, group);
-      HASH_ADD_STR (roster->reports, group, state);
-    }
+  if (state == NULL && instance == NULL)
+    return;
+  state = ensure_report (roster, group);
   if (instance != NULL)
     snprintf (state->wanted, sizeof state->wanted, "%s %s", instance,
               roster->zone);
@@ -313,6 +321,21 @@
   send_report (state);
 }
 
+/* Takes note of a report of this host, which may be that of an earlier
+   process: what is not wanted is then removed.  */
+static void
+adopt_report (struct roster *roster, const char *name)
+{
+  char group[NAME_BYTES];
+  const char *start = name + strlen (REPORTS_PREFIX);
+  const char *slash = strchr (start, '/');
+  if (slash == NULL || strcmp (slash + 1, roster->host) != 0
+      || (size_t)(slash - start) >= sizeof group)
+    return;
+  snprintf (group, sizeof group, "%.*s", (int)(slash - start), start);
+  ensure_report (roster, group);
+}
+
 /* Whether REPORT, "INSTANCE DOMAIN", is about INSTANCE, by a host of
    DOMAIN.  */
 static bool
@@ -675,6 +698,8 @@
   snprintf (key->value, sizeof key->value, "%s", item->value);
   if (is_new && is_host_key (key->name))
     count_hosts (roster);
+  if (strncmp (key->name, REPORTS_PREFIX, strlen (REPORTS_PREFIX)) == 0)
+    adopt_report (roster, key->name);
   if (strcmp (key->name, SECRET_KEY) == 0)
     take_secret (roster, key->value);
   if (!changed)
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -25,8 +25,8 @@
 #define ROSTER_DUTY_RENEW_MS 450
 
 /* A host that died no longer counts after this.  */
-#define ROSTER_HOST_LEASE_MS 12000
-#define ROSTER_HOST_RENEW_MS 4000
+#define ROSTER_HOST_LEASE_MS 6000
+#define ROSTER_HOST_RENEW_MS 2000
 
 #define ROSTER_CALL_TIMEOUT_MS 700
 
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -344,6 +344,22 @@
   ck_assert (!roster_holds (fleet_host (fleet, holder)->roster, &token));
 }
 
+UNIT_TEST (test_a_report_ends_with_the_process_that_made_it)
+{
+  struct fleet_host *host = fleet_host (fleet, 1);
+  struct roster *other = fleet_host (fleet, 2)->roster;
+  host->cut[0] = true;
+  fleet_run (fleet, 5000);
+  ck_assert_uint_eq (
+      roster_reports (other, FLEET_GROUP, "i-0").hosts_reporting, 1);
+  fleet_host_kill (host);
+  host->cut[0] = false;
+  fleet_host_start (host);
+  fleet_run (fleet, 2500);
+  ck_assert_uint_eq (
+      roster_reports (other, FLEET_GROUP, "i-0").hosts_reporting, 0);
+}
+
 UNIT_TEST (test_a_store_that_forgot_its_history_is_read_anew)
 {
   fleet_store_compact (fleet);
