--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -10,7 +10,8 @@
 #include "tests/fleet/fleet.h"
 
 #define NET_MS 1
-#define WORK_MS 8
+#define CONNECT_MS 2
+#define WORK_LIMIT_MS 16
 #define DROPPED_MS 3000 /* a connection whose peer is unreachable */
 #define QUEUE 256
 #define TEXT_BYTES 256
@@ -445,7 +446,7 @@
   later (
       link,
       NET_MS
-          + (works ? (clk_ms)rng_below (&link->fleet->rng, 2 * WORK_MS) : 0),
+          + (works ? (clk_ms)rng_below (&link->fleet->rng, WORK_LIMIT_MS) : 0),
       execute);
 }
 
@@ -502,7 +503,7 @@
       || strcmp (target->group, FLEET_GROUP) != 0)
     fleet_break (fleet, "connected to %s under the id %s", link->instance->id,
                  target->id);
-  later (link, 2 * NET_MS, opened);
+  later (link, CONNECT_MS, opened);
   return link;
 }
 
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -338,15 +338,15 @@
 {
   struct late *late = arg;
   struct store_call *call = find_call (late->store, late->id);
-  if (call == NULL)
+  bool over = call == NULL
+              || (is_served (call) && call->waiting && answer_watch (call));
+  if (over)
     free (late);
   else if (!is_served (call))
     {
       free (late);
       finish_status (call, PLATFORM_UNAVAILABLE);
     }
-  else if (call->waiting && answer_watch (call))
-    free (late);
   else
     fleet_later (late->store->fleet, KEEPALIVE_MS, keep_alive, late);
 }
--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -26,7 +26,7 @@
 
 #define INSTANCES 3
 #define KEYS 256
-#define PROMOTE_MS 100
+#define PROMOTE_US 100000
 #define GROUP "books"
 #define DATABASE "ledger"
 
@@ -350,9 +350,8 @@
   char data[64];
   bool writes = sscanf (text, "WRITE %u %63s", &item, data) == 2;
   bool reads = sscanf (text, "READ %u", &item) == 1;
-  if (strcmp (text, "BEGIN") == 0 && !leads (connection))
-    put_error (connection, "READONLY");
-  else if (writes && !leads (connection))
+  bool needs_lead = writes || strcmp (text, "BEGIN") == 0;
+  if (needs_lead && !leads (connection))
     put_error (connection, "READONLY");
   else
     {
@@ -484,7 +483,7 @@
 static void
 on_promote (struct evhttp_request *request, void *arg)
 {
-  struct timeval span = { .tv_usec = PROMOTE_MS * 1000 };
+  struct timeval span = { .tv_usec = PROMOTE_US };
   json_t *body = read_body (request);
   const char *id = json_string_value (json_object_get (body, "id"));
   struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
