--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -420,7 +420,7 @@
     }
   fleet_run (fleet, 1500);
   ck_assert_uint_le (fleet_instance (fleet, 0)->connections,
-                     (unsigned)FLEET_HOSTS * GROUP_SHARE_LIMIT);
+                     (uintmax_t)FLEET_HOSTS * GROUP_SHARE_LIMIT);
 }
 
 UNIT_PLAIN (test_the_oldest_sample_within_the_stated_age_is_the_floor)
