--- a/Makefile
+++ b/Makefile
@@ -168,6 +168,7 @@
 	@sh tools/install-deps.sh
 	@$(MAKE) --no-print-directory -s $(if $(filter -j%,$(MAKEFLAGS)),,-j4) all standins
 	@bash tests/demo.sh $(BUILD)
+	@bash tests/demo_platform.sh $(BUILD)
 
 # Figures beside their targets, those of the whole path first; BENCH=path
 # runs only that one.
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -143,6 +143,11 @@
    caller frees it.  */
 char *setting_help (const struct setting *setting);
 
+/* Parses the arguments of a command that takes only settings of COMMANDS, and
+   reads them as settings_from_flags does.  */
+void settings_from_arguments (struct settings *settings, unsigned commands,
+                              const char *doc, int argc, char **argv);
+
 /* Reads the settings of a command from the flags in SOURCE and from the
    environment.  On wrong ones prints all findings and ends the process with
    EXIT_WRONG_SETTINGS.  */
--- a/src/cli/settings_argp.c
+++ b/src/cli/settings_argp.c
@@ -119,3 +119,25 @@
   settings_clear (settings);
   exit (EXIT_WRONG_SETTINGS);
 }
+
+static error_t
+no_option (int key, char *arg, struct argp_state *state)
+{
+  (void)arg;
+  if (key != ARGP_KEY_INIT)
+    return ARGP_ERR_UNKNOWN;
+  state->child_inputs[0] = state->input;
+  return 0;
+}
+
+void
+settings_from_arguments (struct settings *settings, unsigned commands,
+                         const char *doc, int argc, char **argv)
+{
+  struct argp_child children[]
+      = { { settings_argp (commands), 0, "Settings:", 0 }, { 0 } };
+  struct argp argp = { .parser = no_option, .doc = doc, .children = children };
+  struct settings_source source = { 0 };
+  argp_parse (&argp, argc, argv, 0, NULL, &source);
+  settings_from_flags (settings, commands, &source);
+}
--- /dev/null
+++ b/src/proxy/backend_conn.c
@@ -0,0 +1,339 @@
+/* The connections of a backend.  */
+
+#include "proxy/backend_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "kernel/mem.h"
+
+void
+conn_set_phase (struct backend_conn *conn, enum conn_phase phase)
+{
+  conn->phase = phase;
+  conn->since_ms = backend_now (conn->backend);
+}
+
+static void
+forget_statements (struct backend_conn *conn)
+{
+  for (size_t i = 0; i < conn->statement_count; i++)
+    free (conn->statements[i]);
+  conn->statement_count = 0;
+}
+
+/* Forgets CONN, whose link is closed.  */
+static void
+conn_free (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  kernel_timer_cancel (backend->options.kernel, &conn->limit);
+  if (conn->phase == CONN_OPENING)
+    backend->opening--;
+  if (backend->probe_conn == conn)
+    backend->probe_conn = NULL;
+  DL_DELETE (backend->conns, conn);
+  backend->conn_count--;
+  forget_statements (conn);
+  free (conn);
+}
+
+void
+conn_close (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  backend->options.port->ops->close (backend->options.port, conn->link);
+  conn_free (conn);
+}
+
+/* Makes CONN idle and passes it to who waits.  */
+static void
+conn_idle (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  conn->user = NULL;
+  kernel_timer_cancel (backend->options.kernel, &conn->limit);
+  conn_set_phase (conn, CONN_IDLE);
+  if (backend->conn_count > backend_kept (backend))
+    backend_arm_tick (backend, backend_now (backend) + BACKEND_SPARE_IDLE_MS);
+  backend_serve_waiters (backend);
+}
+
+static void
+on_opened (void *arg, const struct answer *hello)
+{
+  struct backend_conn *conn = arg;
+  struct backend *backend = conn->backend;
+  backend->opening--;
+  if (hello->has_position
+      && position_compare (hello->position, backend->position) > 0)
+    backend->position = hello->position;
+  backend_note_heard (backend);
+  conn_idle (conn);
+}
+
+/* Whether CONN may serve another user.  */
+static bool
+conn_clean (const struct backend_conn *conn)
+{
+  return conn->expected_count == 0 && conn->state == TX_IDLE;
+}
+
+/* Makes CONN idle, or ends the transaction that is open on it.  */
+static void
+clean (struct backend_conn *conn)
+{
+  if (conn_clean (conn))
+    conn_idle (conn);
+  else if (conn->expected_count == 0)
+    {
+      conn_send (conn, STEP_END, &(struct statement){ .kind = STMT_ROLLBACK },
+                 NULL);
+      kernel_timer_set (conn->backend->options.kernel, &conn->limit,
+                        backend_now (conn->backend) + BACKEND_CLEAN_MS);
+    }
+}
+
+static void
+on_answer (void *arg, const struct answer *answer)
+{
+  struct backend_conn *conn = arg;
+  struct backend *backend = conn->backend;
+  if (conn->expected_count == 0)
+    {
+      log_event (backend_log (backend), LOG_WARNING, "answer_to_nothing",
+                 LOG_S ("instance", backend->entry.id));
+      struct conn_user *user = conn->user;
+      conn_close (conn);
+      if (user != NULL)
+        user->ops->lost (user);
+      return;
+    }
+  struct expectation expected = conn->expected[conn->expected_head];
+  conn->expected_head = (conn->expected_head + 1) % OUTSTANDING_LIMIT;
+  conn->expected_count--;
+  conn->state = answer->state;
+  if (answer->has_position)
+    backend->position = answer->position;
+  backend_note_heard (backend);
+  if (expected.step == STEP_BEGIN && answer->code == CODE_READONLY)
+    backend->options.refuted (backend->options.arg, backend);
+  if (expected.step == STEP_SETUP && answer->code != CODE_OK)
+    {
+      /* What holds on it is unknown: the next user resets it.  */
+      conn->values_hash = UINT64_MAX;
+      forget_statements (conn);
+    }
+  if (conn->user != NULL)
+    conn->user->ops->answered (conn->user, conn, expected.step, answer);
+  else if (conn->phase == CONN_CLEANING)
+    clean (conn);
+}
+
+static void
+on_closed (void *arg, enum code code)
+{
+  struct backend_conn *conn = arg;
+  struct backend *backend = conn->backend;
+  struct conn_user *user = conn->user;
+  bool was_opening = conn->phase == CONN_OPENING;
+  if (conn->phase != CONN_IDLE || code != CODE_LOST)
+    log_event (backend_log (backend), LOG_INFO, "connection_lost",
+               LOG_S ("instance", backend->entry.id),
+               LOG_S ("code", code_name (code)),
+               LOG_U ("outstanding", conn->expected_count),
+               LOG_S ("phase", was_opening ? "opening" : "open"));
+  conn_free (conn);
+  if (was_opening && code == CODE_TOOMANY)
+    {
+      /* The instance lives; others hold its connections.  */
+      backend_note_heard (backend);
+      backend->failures++;
+      backend->retry_ms = backend_now (backend) + BACKEND_TOOMANY_RETRY_MS;
+      backend_arm_tick (backend, backend->retry_ms);
+    }
+  else if (was_opening || code != CODE_LOST)
+    backend_note_refused (backend);
+  else if (!backend->closing)
+    backend_arm_tick (backend, backend_now (backend));
+  if (user != NULL)
+    user->ops->lost (user);
+}
+
+static const struct instance_events events
+    = { .opened = on_opened, .answer = on_answer, .closed = on_closed };
+
+/* A connection could not be opened or cleaned in time.  */
+static void
+limit_reached (void *arg)
+{
+  struct backend_conn *conn = arg;
+  struct backend *backend = conn->backend;
+  bool was_opening = conn->phase == CONN_OPENING;
+  conn_close (conn);
+  if (was_opening)
+    backend_note_refused (backend);
+  backend_arm_tick (backend, backend_now (backend));
+}
+
+void
+conn_open (struct backend *backend)
+{
+  struct backend_conn *conn = mem_zalloc (sizeof *conn);
+  struct instance_target target = { .address = backend->entry.address,
+                                    .port = backend->entry.port,
+                                    .group = backend->entry.group,
+                                    .id = backend->entry.id };
+  conn->backend = backend;
+  conn->limit.fire = limit_reached;
+  conn->limit.arg = conn;
+  conn_set_phase (conn, CONN_OPENING);
+  DL_APPEND (backend->conns, conn);
+  backend->conn_count++;
+  backend->opening++;
+  metrics_count (kernel_metrics (backend->options.kernel),
+                 "connections_opened_total");
+  kernel_timer_set (backend->options.kernel, &conn->limit,
+                    backend_now (backend) + BACKEND_CONNECT_TIMEOUT_MS);
+  conn->link = backend->options.port->ops->open (backend->options.port,
+                                                 &target, &events, conn);
+}
+
+struct backend *
+conn_backend (const struct backend_conn *conn)
+{
+  return conn->backend;
+}
+
+void
+conn_send (struct backend_conn *conn, enum conn_step step,
+           const struct statement *statement, const struct position *after)
+{
+  struct backend *backend = conn->backend;
+  uint32_t place
+      = (conn->expected_head + conn->expected_count) % OUTSTANDING_LIMIT;
+  if (conn->expected_count == OUTSTANDING_LIMIT)
+    abort (); /* set-up is bounded by VALUES_LIMIT */
+  conn->expected[place] = (struct expectation){ step, backend_now (backend) };
+  conn->expected_count++;
+  backend->options.port->ops->send (backend->options.port, conn->link,
+                                    statement, after);
+}
+
+void
+conn_statement_name (enum stmt_kind kind, const char *shape, char *out,
+                     size_t size)
+{
+  snprintf (out, size, "%c_%s", kind == STMT_PREPARE_WRITE ? 'w' : 'r', shape);
+}
+
+static void
+send_reset (struct backend_conn *conn)
+{
+  conn_send (conn, STEP_SETUP, &(struct statement){ .kind = STMT_RESET },
+             NULL);
+  conn->values_hash = 0;
+  forget_statements (conn);
+}
+
+static void
+send_values (struct backend_conn *conn, const struct values *values)
+{
+  for (size_t i = 0; i < values->count; i++)
+    conn_send (conn, STEP_SETUP,
+               &(struct statement){ .kind = STMT_SET,
+                                    .name = values->items[i].name,
+                                    .rest = values->items[i].text },
+               NULL);
+  conn->values_hash = values->hash;
+}
+
+static bool
+has_statement (const struct backend_conn *conn, const char *name)
+{
+  for (size_t i = 0; i < conn->statement_count; i++)
+    if (strcmp (conn->statements[i], name) == 0)
+      return true;
+  return false;
+}
+
+bool
+conn_set_up (struct backend_conn *conn, const struct values *values,
+             enum stmt_kind kind, const char *shape)
+{
+  char name[VALUE_NAME_BYTES + 2];
+  uint32_t before = conn->expected_count;
+  bool in_transaction = conn->state != TX_IDLE;
+  if (conn->values_hash != values->hash)
+    {
+      if (conn->values_hash != 0 && !in_transaction)
+        send_reset (conn);
+      send_values (conn, values);
+    }
+  if (shape == NULL)
+    return conn->expected_count > before;
+  conn_statement_name (kind, shape, name, sizeof name);
+  if (has_statement (conn, name))
+    return conn->expected_count > before;
+  if (conn->statement_count == BACKEND_STATEMENTS && !in_transaction)
+    {
+      send_reset (conn);
+      send_values (conn, values);
+    }
+  conn_send (conn, STEP_SETUP,
+             &(struct statement){ .kind = kind, .name = name, .rest = shape },
+             NULL);
+  if (conn->statement_count < BACKEND_STATEMENTS)
+    conn->statements[conn->statement_count++] = mem_strdup (name);
+  return true;
+}
+
+void
+conn_set_value (struct backend_conn *conn, const struct values *values,
+                const char *name, const char *value)
+{
+  conn_send (
+      conn, STEP_SETUP,
+      &(struct statement){ .kind = STMT_SET, .name = name, .rest = value },
+      NULL);
+  conn->values_hash = values->hash;
+}
+
+uint32_t
+conn_outstanding (const struct backend_conn *conn)
+{
+  return conn->expected_count;
+}
+
+enum tx_state
+conn_state (const struct backend_conn *conn)
+{
+  return conn->state;
+}
+
+void
+conn_give (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  conn->user = NULL;
+  if (backend->closing)
+    {
+      conn_close (conn);
+      return;
+    }
+  conn_set_phase (conn, CONN_CLEANING);
+  kernel_timer_set (backend->options.kernel, &conn->limit,
+                    backend_now (backend) + BACKEND_LATE_ANSWER_MS);
+  clean (conn);
+}
+
+void
+conn_discard (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  conn_close (conn);
+  backend_arm_tick (backend, backend_now (backend));
+}
--- /dev/null
+++ b/src/proxy/backend_impl.h
@@ -0,0 +1,88 @@
+/* backend_impl - what the files of the backend share.  */
+
+#ifndef SAVORYWAY_PROXY_BACKEND_IMPL_H
+#define SAVORYWAY_PROXY_BACKEND_IMPL_H
+
+#include "proxy/backend.h"
+
+/* Statements of one connection without an answer; only set-up is sent in
+   numbers.  */
+#define OUTSTANDING_LIMIT 160
+
+enum conn_phase
+{
+  CONN_OPENING,
+  CONN_IDLE,
+  CONN_OWNED,
+  CONN_CLEANING /* without a user, until it may be idle */
+};
+
+struct expectation
+{
+  enum conn_step step;
+  clk_ms sent_ms;
+};
+
+struct backend_conn
+{
+  struct backend *backend;
+  struct instance_link *link;
+  enum conn_phase phase;
+  struct conn_user *user;
+  enum tx_state state;
+  uint64_t values_hash;
+  size_t statement_count;
+  char *statements[BACKEND_STATEMENTS];
+  struct expectation expected[OUTSTANDING_LIMIT];
+  uint32_t expected_head;
+  uint32_t expected_count;
+  clk_ms since_ms; /* of the phase */
+  struct ktimer limit;
+  struct backend_conn *prev;
+  struct backend_conn *next;
+};
+
+struct backend
+{
+  struct backend_options options;
+  struct instance_entry entry;
+  struct backend_conn *conns;
+  uint32_t conn_count;
+  uint32_t opening;
+  uint32_t share;
+  struct conn_user *waiters;
+  uint32_t waiting;
+  struct position position;
+  clk_ms heard_ms;
+  clk_ms refused_since_ms; /* connections refused or unanswered */
+  clk_ms probe_unanswered_ms;
+  uint32_t failures;
+  clk_ms retry_ms;
+  struct ktimer tick;
+  struct conn_user probe_user;
+  struct backend_conn *probe_conn;
+  clk_ms probe_ms;
+  double typical_ms;
+  double refusal_share;
+  bool closing;
+};
+
+/* backend.c */
+clk_ms backend_now (const struct backend *backend);
+struct log *backend_log (const struct backend *backend);
+/* Connections that stay open without use.  */
+uint32_t backend_kept (const struct backend *backend);
+/* Looks after the connections at DUE_MS, or before.  */
+void backend_arm_tick (struct backend *backend, clk_ms due_ms);
+/* Something was heard, or a connection was refused or not answered.  */
+void backend_note_heard (struct backend *backend);
+void backend_note_refused (struct backend *backend);
+/* Passes idle connections to who waits.  */
+void backend_serve_waiters (struct backend *backend);
+
+/* backend_conn.c */
+void conn_open (struct backend *backend);
+void conn_close (struct backend_conn *conn);
+void conn_set_phase (struct backend_conn *conn, enum conn_phase phase);
+
+#endif
