Remove what the proxy has no use for

backend_silent_since_ms, caller_busy, callers_count, conn_discard with the flag that never asked for it, a deadline that only its timer needs, and three leftovers of the fleet's header.

--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -335,16 +335,6 @@
     backend_probe (backend);
 }
 
-clk_ms
-backend_silent_since_ms (struct backend *backend)
-{
-  clk_ms since_ms = backend->probe_unanswered_ms;
-  check_probe (backend);
-  if (backend->refused_since_ms < since_ms)
-    since_ms = backend->refused_since_ms;
-  return since_ms;
-}
-
 struct backend *
 backend_new (const struct backend_options *options)
 {
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -127,10 +127,6 @@
 /* Whether it is not known to be unreachable or silent.  */
 bool backend_usable (const struct backend *backend);
 
-/* Since when the instance has been silent or refused connections;
-   CLK_NEVER if it answers.  */
-clk_ms backend_silent_since_ms (struct backend *backend);
-
 /* When the instance last answered anything.  */
 clk_ms backend_heard_ms (const struct backend *backend);
 
@@ -172,7 +168,5 @@
 
 /* Hands CONN back; it is cleaned first where that is needed.  */
 void conn_give (struct backend_conn *conn);
-/* Closes CONN, without lost.  */
-void conn_discard (struct backend_conn *conn);
 
 #endif
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -329,11 +329,3 @@
                     backend_now (backend) + BACKEND_LATE_ANSWER_MS);
   clean (conn);
 }
-
-void
-conn_discard (struct backend_conn *conn)
-{
-  struct backend *backend = conn->backend;
-  conn_close (conn);
-  backend_arm_tick (backend, backend_now (backend));
-}
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -304,7 +304,6 @@
   caller->idle.arg = caller;
   caller_run_init (caller);
   DL_APPEND (callers->list, caller);
-  callers->count++;
   return caller;
 }
 
@@ -321,22 +320,9 @@
     do_deallocate (caller, caller->prepared[0].name);
   free (caller->prepared);
   DL_DELETE (callers->list, caller);
-  callers->count--;
   free (caller);
 }
 
-bool
-caller_busy (const struct caller *caller)
-{
-  return caller->run.stage != RUN_NONE || caller->tx != TX_IDLE;
-}
-
-size_t
-callers_count (const struct callers *callers)
-{
-  return callers->count;
-}
-
 static void
 callers_start (struct module *module)
 {
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -63,9 +63,4 @@
 /* Ends the session; no answer follows.  */
 void caller_close (struct caller *caller);
 
-/* Whether a statement is running or a transaction open.  */
-bool caller_busy (const struct caller *caller);
-
-size_t callers_count (const struct callers *callers);
-
 #endif
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -28,7 +28,6 @@
   const char *shape;            /* likewise; belongs to the session */
   struct route route;
   clk_ms arrived_ms;
-  clk_ms deadline_ms;
   clk_ms sent_ms;
   clk_ms begin_sent_ms;
   clk_ms held_since_ms; /* CLK_NEVER while not held */
@@ -86,7 +85,6 @@
   struct catalog *catalog;
   struct groups *groups;
   struct caller *list;
-  size_t count;
 };
 
 /* caller_run.c */
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -54,15 +54,11 @@
 }
 
 static void
-drop_conn (struct caller *caller, bool discard)
+drop_conn (struct caller *caller)
 {
   struct backend_conn *conn = caller->conn;
   caller->conn = NULL;
-  if (conn == NULL)
-    return;
-  if (discard)
-    conn_discard (conn);
-  else
+  if (conn != NULL)
     conn_give (conn);
 }
 
@@ -82,7 +78,7 @@
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->deadline);
   kernel_timer_cancel (kernel, &caller->slow);
-  drop_conn (caller, false);
+  drop_conn (caller);
 }
 
 /* Ends the statement with CODE; a transaction that it belongs to is ended on
@@ -92,7 +88,7 @@
 {
   bool commit = caller->run.kind == STMT_COMMIT;
   backend_cancel (&caller->user);
-  drop_conn (caller, false);
+  drop_conn (caller);
   if (in_transaction (caller))
     caller->tx = commit ? TX_IDLE : TX_FAILED;
   caller_finish_code (caller, code, why);
@@ -407,7 +403,7 @@
   bool pinned = in_transaction (caller) && !caller->run.begins;
   if (code == CODE_LAGGING && group != NULL)
     group_behind (group, backend);
-  drop_conn (caller, false);
+  drop_conn (caller);
   if (pinned)
     fail (caller, CODE_ABORTED, "the instance refused a value");
   else
@@ -443,10 +439,10 @@
 {
   learn (caller, backend, answer);
   if (!in_transaction (caller))
-    drop_conn (caller, false);
+    drop_conn (caller);
   else if (caller->run.kind == STMT_COMMIT)
     {
-      drop_conn (caller, false);
+      drop_conn (caller);
       caller->tx = TX_IDLE;
     }
   else
@@ -471,7 +467,7 @@
   if (first && code_not_run (answer->code))
     {
       caller->tx_wrote = false;
-      drop_conn (caller, false);
+      drop_conn (caller);
       retry (caller, answer->code);
       return;
     }
@@ -503,7 +499,7 @@
       tx_failed (caller, answer);
       return;
     }
-  drop_conn (caller, false);
+  drop_conn (caller);
   if (code_not_run (code)
       || (is_repeatable (caller)
           && (code == CODE_FAILED || code == CODE_TIMEOUT)
@@ -538,7 +534,7 @@
       /* A value set between the statements of a transaction.  */
       if (answer->code != CODE_OK)
         {
-          drop_conn (caller, false);
+          drop_conn (caller);
           caller->tx = TX_FAILED;
           caller->tx_untold = true;
         }
@@ -613,7 +609,7 @@
   struct caller *caller = arg;
   if (caller->run.stage != RUN_SENT)
     return;
-  drop_conn (caller, false);
+  drop_conn (caller);
   retry (caller, CODE_TIMEOUT);
 }
 
@@ -641,7 +637,6 @@
       return;
     }
   run->route = *route;
-  run->deadline_ms = run->arrived_ms + route->timeout_ms;
   set_timer (caller, &caller->deadline, route->timeout_ms);
   dispatch (caller);
 }
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -2,7 +2,6 @@
 
 #include "proxy/roster_impl.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -82,7 +82,6 @@
 struct fleet *fleet_new (uint64_t seed, size_t hosts);
 void fleet_free (struct fleet *fleet);
 
-struct kernel *fleet_kernel (struct fleet *fleet);
 struct fleet_host *fleet_host (struct fleet *fleet, size_t index);
 struct fleet_instance *fleet_instance (struct fleet *fleet, size_t index);
 clk_ms fleet_now (struct fleet *fleet);
@@ -150,8 +149,7 @@
 /* Instance that served the last statement that ran; "" if none did.  */
 const char *fleet_caller_server (const struct fleet_caller *caller);
 
-/* Of the implementation.  */
-struct fleet_impl;
+/* The whole, for its own files.  */
 struct fleet
 {
   struct clk_virtual clk;
@@ -180,7 +178,6 @@
 void fleet_store_free (struct fleet_store *store);
 /* Drops the calls of a host that ended.  */
 void fleet_store_forget (struct fleet_host *host);
-void fleet_links_forget (struct fleet_host *host);
 struct fleet_oracle *fleet_oracle_new (struct fleet *fleet);
 void fleet_oracle_free (struct fleet_oracle *oracle);
 bool fleet_status_parse (struct instance_status *status,
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -648,12 +648,6 @@
   host->promote.ops = &promote_ops;
 }
 
-void
-fleet_links_forget (struct fleet_host *host)
-{
-  (void)host; /* kernel_free closes all links */
-}
-
 bool
 fleet_status_parse (struct instance_status *status,
                     const struct answer *answer)
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -187,7 +187,6 @@
   if (!host->running)
     return;
   host->running = false;
-  fleet_links_forget (host);
   fleet_store_forget (host);
   kernel_free (host->kernel);
   host->kernel = NULL;
@@ -244,12 +243,6 @@
   free (fleet);
 }
 
-struct kernel *
-fleet_kernel (struct fleet *fleet)
-{
-  return fleet->kernel;
-}
-
 struct fleet_host *
 fleet_host (struct fleet *fleet, size_t index)
 {
