--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -183,6 +183,55 @@
 	} revisions;
 };
 typedef struct peer_census peer_census;
+#define PEER_VALUES_LIMIT 64
+
+struct peer_value {
+	char *name;
+	char *text;
+};
+typedef struct peer_value peer_value;
+
+struct peer_forward {
+	u_quad_t transaction;
+	bool_t begins;
+	bool_t read_only;
+	bool_t may_wait;
+	peer_name database;
+	peer_name group;
+	u_int route_kind;
+	u_int priority;
+	quad_t timeout_ms;
+	quad_t max_staleness_ms;
+	quad_t session_age_ms;
+	quad_t transaction_age_ms;
+	u_quad_t own_term;
+	u_quad_t own_lsn;
+	struct {
+		u_int values_len;
+		peer_value *values_val;
+	} values;
+	u_int kind;
+	u_int prepared_kind;
+	char *id;
+	char *text;
+	char *name;
+	char *shape;
+	char *rest;
+};
+typedef struct peer_forward peer_forward;
+
+struct peer_forwarded {
+	u_int code;
+	char *reason;
+	struct {
+		u_int answer_len;
+		char *answer_val;
+	} answer;
+	peer_name instance;
+	u_quad_t own_term;
+	u_quad_t own_lsn;
+};
+typedef struct peer_forwarded peer_forwarded;
 
 enum peer_kind {
 	PEER_KIND_NONE = 0,
@@ -194,6 +243,8 @@
 	PEER_KIND_UPDATE = 6,
 	PEER_KIND_REFUSED = 7,
 	PEER_KIND_CENSUS = 8,
+	PEER_KIND_FORWARD = 9,
+	PEER_KIND_FORWARDED = 10,
 };
 typedef enum peer_kind peer_kind;
 
@@ -207,6 +258,8 @@
 		peer_pull pull;
 		peer_update update;
 		peer_census census;
+		peer_forward forward;
+		peer_forwarded forwarded;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -251,6 +304,9 @@
 extern  bool_t xdr_peer_update (XDR *, peer_update*);
 extern  bool_t xdr_peer_census_entry (XDR *, peer_census_entry*);
 extern  bool_t xdr_peer_census (XDR *, peer_census*);
+extern  bool_t xdr_peer_value (XDR *, peer_value*);
+extern  bool_t xdr_peer_forward (XDR *, peer_forward*);
+extern  bool_t xdr_peer_forwarded (XDR *, peer_forwarded*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
@@ -271,6 +327,9 @@
 extern bool_t xdr_peer_update ();
 extern bool_t xdr_peer_census_entry ();
 extern bool_t xdr_peer_census ();
+extern bool_t xdr_peer_value ();
+extern bool_t xdr_peer_forward ();
+extern bool_t xdr_peer_forwarded ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_message ();
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -143,6 +143,51 @@
   peer_census_entry revisions<PEER_BATCH_LIMIT>;
 };
 
+const PEER_VALUES_LIMIT = 64;
+
+/* A value of a caller's session.  */
+struct peer_value {
+  string name<PEER_TEXT_LIMIT>;
+  string text<PEER_TEXT_LIMIT>;
+};
+
+/* A statement of a caller's session, for a host with connections to the
+   instances of its group, with all of the session that it depends on.  */
+struct peer_forward {
+  unsigned hyper transaction; /* chosen by the sender; 0: outside of one */
+  bool begins;                /* first statement of the transaction */
+  bool read_only;             /* likewise */
+  bool may_wait;              /* for a primary */
+  peer_name database;
+  peer_name group;
+  unsigned int route_kind;
+  unsigned int priority;
+  hyper timeout_ms; /* what is left of it */
+  hyper max_staleness_ms;
+  hyper session_age_ms;
+  hyper transaction_age_ms;
+  unsigned hyper own_term;
+  unsigned hyper own_lsn;
+  peer_value values<PEER_VALUES_LIMIT>;
+  unsigned int kind;
+  unsigned int prepared_kind;
+  string id<PEER_TEXT_LIMIT>;
+  string text<PEER_TEXT_LIMIT>;
+  string name<PEER_TEXT_LIMIT>;
+  string shape<PEER_TEXT_LIMIT>;
+  string rest<PEER_TEXT_LIMIT>;
+};
+
+/* How it ended.  */
+struct peer_forwarded {
+  unsigned int code;
+  string reason<PEER_TEXT_LIMIT>;
+  opaque answer<PEER_RESULT_LIMIT>;
+  peer_name instance;
+  unsigned hyper own_term;
+  unsigned hyper own_lsn;
+};
+
 enum peer_kind {
   PEER_KIND_NONE = 0,
   PEER_KIND_EXECUTE = 1,
@@ -152,7 +197,9 @@
   PEER_KIND_PULL = 5,
   PEER_KIND_UPDATE = 6,
   PEER_KIND_REFUSED = 7, /* answer: the sender is not a known member */
-  PEER_KIND_CENSUS = 8
+  PEER_KIND_CENSUS = 8,
+  PEER_KIND_FORWARD = 9,
+  PEER_KIND_FORWARDED = 10
 };
 
 union peer_body switch (peer_kind kind) {
@@ -170,6 +217,10 @@
   peer_update update;
 case PEER_KIND_CENSUS:
   peer_census census;
+case PEER_KIND_FORWARD:
+  peer_forward forward;
+case PEER_KIND_FORWARDED:
+  peer_forwarded forwarded;
 case PEER_KIND_REFUSED:
   void;
 case PEER_KIND_NONE:
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -279,6 +279,204 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_value (XDR *xdrs, peer_value *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->text, PEER_TEXT_LIMIT))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_forward (XDR *xdrs, peer_forward *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->begins))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->read_only))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_wait))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->begins);
+		IXDR_PUT_BOOL(buf, objp->read_only);
+		IXDR_PUT_BOOL(buf, objp->may_wait);
+		}
+		 if (!xdr_peer_name (xdrs, &objp->database))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->group))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->route_kind))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->transaction_age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->own_term))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->own_lsn))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, PEER_VALUES_LIMIT,
+			sizeof (peer_value), (xdrproc_t) xdr_peer_value))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->kind))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->prepared_kind))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->id, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->text, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->shape, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->rest, PEER_TEXT_LIMIT))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->begins))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->read_only))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->may_wait))
+				 return FALSE;
+
+		} else {
+		objp->begins = IXDR_GET_BOOL(buf);
+		objp->read_only = IXDR_GET_BOOL(buf);
+		objp->may_wait = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_peer_name (xdrs, &objp->database))
+			 return FALSE;
+		 if (!xdr_peer_name (xdrs, &objp->group))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->route_kind))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->priority))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->transaction_age_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->own_term))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->own_lsn))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, PEER_VALUES_LIMIT,
+			sizeof (peer_value), (xdrproc_t) xdr_peer_value))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->kind))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->prepared_kind))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->id, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->text, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->name, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->shape, PEER_TEXT_LIMIT))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->rest, PEER_TEXT_LIMIT))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begins))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->read_only))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->may_wait))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->database))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->route_kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->transaction_age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->own_term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->own_lsn))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->values.values_val, (u_int *) &objp->values.values_len, PEER_VALUES_LIMIT,
+		sizeof (peer_value), (xdrproc_t) xdr_peer_value))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prepared_kind))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->id, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->text, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->shape, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->rest, PEER_TEXT_LIMIT))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_forwarded (XDR *xdrs, peer_forwarded *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, PEER_TEXT_LIMIT))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_RESULT_LIMIT))
+		 return FALSE;
+	 if (!xdr_peer_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->own_term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->own_lsn))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -325,6 +523,14 @@
 		 if (!xdr_peer_census (xdrs, &objp->peer_body_u.census))
 			 return FALSE;
 		break;
+	case PEER_KIND_FORWARD:
+		 if (!xdr_peer_forward (xdrs, &objp->peer_body_u.forward))
+			 return FALSE;
+		break;
+	case PEER_KIND_FORWARDED:
+		 if (!xdr_peer_forwarded (xdrs, &objp->peer_body_u.forwarded))
+			 return FALSE;
+		break;
 	case PEER_KIND_REFUSED:
 		break;
 	case PEER_KIND_NONE:
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -294,7 +294,8 @@
 backend_probe (struct backend *backend)
 {
   check_probe (backend);
-  if (backend->probe_conn != NULL || backend->probe_user.waits_for != NULL)
+  if (backend->share == 0 || backend->probe_conn != NULL
+      || backend->probe_user.waits_for != NULL)
     return;
   struct backend_conn *conn = backend_take (backend, &backend->probe_user);
   if (conn != NULL)
@@ -407,10 +408,25 @@
     }
 }
 
+/* Ends what this host has with the instance; what runs on a connection is
+   answered first.  */
+static void
+let_go (struct backend *backend)
+{
+  backend->refused_since_ms = CLK_NEVER;
+  backend->probe_unanswered_ms = CLK_NEVER;
+  backend_cancel (&backend->probe_user);
+  fail_waiters (backend);
+  close_idle (backend);
+}
+
 void
 backend_set_share (struct backend *backend, uint32_t share)
 {
-  backend->share = share > 0 ? share : 1;
+  bool ends = share == 0 && backend->share > 0;
+  backend->share = share;
+  if (ends)
+    let_go (backend);
 }
 
 void
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -105,7 +105,8 @@
 void backend_set_entry (struct backend *backend,
                         const struct instance_entry *entry);
 
-/* Sets the fair share of connections of this host, its limit.  */
+/* Sets the fair share of connections of this host, its limit; 0: it has
+   none.  */
 void backend_set_share (struct backend *backend, uint32_t share);
 
 /* Opens what is kept open without use.  */
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -57,6 +57,11 @@
   conn->user = NULL;
   kernel_timer_cancel (backend->options.kernel, &conn->limit);
   conn_set_phase (conn, CONN_IDLE);
+  if (backend->share == 0)
+    {
+      conn_close (conn);
+      return;
+    }
   if (backend->conn_count > backend_kept (backend))
     backend_arm_tick (backend, backend_now (backend) + BACKEND_SPARE_IDLE_MS);
   backend_serve_waiters (backend);
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -65,6 +65,8 @@
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->slow);
   group_cancel (&caller->waiter);
+  text_copy (caller->served_by, sizeof caller->served_by,
+             caller->run.instance);
   run_clear (&caller->run);
   arm_idle (caller);
   caller->sink.answer (caller->sink.arg, &out);
@@ -85,11 +87,12 @@
   return NULL;
 }
 
-static enum code
-do_prepare (struct caller *caller, const struct statement *statement)
+enum code
+caller_prepare (struct caller *caller, const char *name, enum stmt_kind kind,
+                const char *shape)
 {
-  struct prepared *prepared = find_prepared (caller, statement->name);
-  if (strlen (statement->rest) >= VALUE_NAME_BYTES)
+  struct prepared *prepared = find_prepared (caller, name);
+  if (strlen (shape) >= VALUE_NAME_BYTES)
     return CODE_TOOLARGE;
   if (prepared == NULL)
     {
@@ -99,11 +102,11 @@
           = mem_resize (caller->prepared, (caller->prepared_count + 1)
                                               * sizeof *caller->prepared);
       prepared = &caller->prepared[caller->prepared_count++];
-      *prepared = (struct prepared){ .name = mem_strdup (statement->name) };
+      *prepared = (struct prepared){ .name = mem_strdup (name) };
     }
   free (prepared->shape);
-  prepared->shape = mem_strdup (statement->rest);
-  prepared->kind = statement->kind;
+  prepared->shape = mem_strdup (shape);
+  prepared->kind = kind;
   return CODE_OK;
 }
 
@@ -118,15 +121,23 @@
   *prepared = caller->prepared[--caller->prepared_count];
 }
 
+bool
+caller_set_value (struct caller *caller, const char *name, const char *text)
+{
+  uint64_t before = caller->values.hash;
+  if (!values_set (&caller->values, name, text))
+    return false;
+  if (caller->conn != NULL && caller->values.hash != before)
+    conn_set_value (caller->conn, &caller->values, name, text);
+  return true;
+}
+
 static enum code
 do_set (struct caller *caller, const struct statement *statement)
 {
-  if (!values_set (&caller->values, statement->name, statement->rest))
-    return CODE_TOOLARGE;
-  if (caller->conn != NULL)
-    conn_set_value (caller->conn, &caller->values, statement->name,
-                    statement->rest);
-  return CODE_OK;
+  return caller_set_value (caller, statement->name, statement->rest)
+             ? CODE_OK
+             : CODE_TOOLARGE;
 }
 
 static void
@@ -248,7 +259,10 @@
       return;
     case STMT_PREPARE_READ:
     case STMT_PREPARE_WRITE:
-      caller_finish_code (caller, do_prepare (caller, statement), NULL);
+      caller_finish_code (caller,
+                          caller_prepare (caller, statement->name,
+                                          statement->kind, statement->rest),
+                          NULL);
       return;
     case STMT_DEALLOCATE:
       do_deallocate (caller, statement->name);
@@ -289,12 +303,10 @@
   caller->tx_untold = true;
 }
 
-struct caller *
-caller_open (struct callers *callers, const char *database,
-             const struct caller_sink *sink)
+static struct caller *
+caller_new (struct callers *callers, const char *database,
+            const struct caller_sink *sink)
 {
-  if (catalog_route (callers->catalog, database) == NULL)
-    return NULL;
   struct caller *caller = mem_zalloc (sizeof *caller);
   caller->callers = callers;
   caller->sink = *sink;
@@ -307,6 +319,25 @@
   return caller;
 }
 
+struct caller *
+caller_open (struct callers *callers, const char *database,
+             const struct caller_sink *sink)
+{
+  if (catalog_route (callers->catalog, database) == NULL)
+    return NULL;
+  return caller_new (callers, database, sink);
+}
+
+struct caller *
+caller_open_guest (struct callers *callers, const struct route *route,
+                   const struct caller_sink *sink)
+{
+  struct caller *caller = caller_new (callers, route->database, sink);
+  caller->guest = true;
+  caller->tx_route = *route;
+  return caller;
+}
+
 void
 caller_close (struct caller *caller)
 {
@@ -329,6 +360,9 @@
   struct callers *callers = (struct callers *)module;
   callers->catalog = (struct catalog *)kernel_find (module->kernel, "catalog");
   callers->groups = (struct groups *)kernel_find (module->kernel, "groups");
+  callers->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  callers->forwarder
+      = (struct forwarder *)kernel_find (module->kernel, "forwarder");
 }
 
 static void
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -4,6 +4,7 @@
 #define SAVORYWAY_PROXY_CALLER_IMPL_H
 
 #include "proxy/caller.h"
+#include "proxy/forwarder.h"
 
 enum run_stage
 {
@@ -42,6 +43,14 @@
   char tried[CALLER_TRIES][NAME_BYTES];
 };
 
+/* What runs through another host.  */
+struct remote_run
+{
+  uint64_t transaction; /* its number there; 0: none is open */
+  uint64_t call;        /* under way; 0: none */
+  struct peer_address host;
+};
+
 struct prepared
 {
   char *name;
@@ -75,6 +84,10 @@
   struct ktimer idle;     /* of the transaction */
   struct ktimer slow;     /* a read without an answer */
   struct run_request run;
+  struct remote_run remote;
+  char served_by[NAME_BYTES]; /* instance of the last statement */
+  bool guest;                 /* of another host's session */
+  bool may_wait;              /* guest: for a primary */
   struct caller *prev;
   struct caller *next;
 };
@@ -84,6 +97,8 @@
   struct module base;
   struct catalog *catalog;
   struct groups *groups;
+  struct hosts *hosts;
+  struct forwarder *forwarder;
   struct caller *list;
 };
 
@@ -94,6 +109,37 @@
 /* Gives up what runs and the connection, without an answer.  */
 void caller_run_stop (struct caller *caller);
 
+bool caller_needs_leader (const struct caller *caller);
+bool caller_is_repeatable (const struct caller *caller);
+/* Goes on after an attempt that did not run, or may be repeated.  */
+void caller_retry (struct caller *caller, enum code code);
+/* Waits for a change of the group, or WAIT_MS, for a bounded time.  */
+void caller_hold (struct caller *caller, const char *why, clk_ms wait_ms);
+/* Ends the statement with CODE, and the transaction that it belongs to.  */
+void caller_fail (struct caller *caller, enum code code, const char *why);
+/* The same for one whose outcome is not known.  */
+void caller_fail_unknown (struct caller *caller, enum code code,
+                          const char *why);
+
+/* caller_remote.c */
+/* Whether the statement has to go through another host.  */
+bool caller_remote_wanted (struct caller *caller);
+void caller_remote_dispatch (struct caller *caller);
+/* Gives up a host that has not answered; false if none was asked.  */
+bool caller_remote_slow (struct caller *caller);
+/* Ends what runs or is open at another host.  */
+void caller_remote_stop (struct caller *caller);
+
+/* caller.c */
+/* Begins a session for statements of another host, on ROUTE.  */
+struct caller *caller_open_guest (struct callers *callers,
+                                  const struct route *route,
+                                  const struct caller_sink *sink);
+bool caller_set_value (struct caller *caller, const char *name,
+                       const char *text);
+enum code caller_prepare (struct caller *caller, const char *name,
+                          enum stmt_kind kind, const char *shape);
+
 /* caller.c: the one answer of the statement.  */
 void caller_finish (struct caller *caller, const struct answer *answer);
 void caller_finish_code (struct caller *caller, enum code code,
--- /dev/null
+++ b/src/proxy/caller_remote.c
@@ -0,0 +1,324 @@
+/* Runs a statement of a session through another host: one that has
+   connections to the instances of its group, or reaches the primary.  */
+
+#include "proxy/caller_impl.h"
+
+#include <string.h>
+
+#include "kernel/text.h"
+
+/* The host answers before the statement's own limit, so that its answer,
+   which may tell that the statement did not run, comes in time.  */
+#define REMOTE_MARGIN_MS 15
+
+/* After a host refused a new statement, or none is known.  */
+#define REMOTE_WAIT_MS 30
+
+/* A host that does not answer a read for this long is passed over; longer
+   than it waits itself for an instance.  */
+#define REMOTE_SLOW_MS 600
+
+/* Hosts that one statement may be tried on.  */
+#define REMOTE_TRIES 3
+
+static bool
+in_transaction (const struct caller *caller)
+{
+  return caller->tx == TX_OPEN;
+}
+
+/* The primary that this host believes in and can't reach; NULL if there is
+   none.  */
+static const char *
+unreached_leader (struct caller *caller, struct group *group)
+{
+  struct backend *leader = group != NULL ? group_leader (group) : NULL;
+  if (!caller_needs_leader (caller) || leader == NULL
+      || backend_usable (leader))
+    return NULL;
+  return backend_entry (leader)->id;
+}
+
+static const struct other_host *
+pick (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct group *group
+      = groups_find (caller->callers->groups, run->route.group);
+  struct forwarder_query query
+      = { .group = run->route.group,
+          .instance = unreached_leader (caller, group),
+          .tried = (const char (*)[NAME_BYTES])run->tried,
+          .tried_count = run->tried_count };
+  return forwarder_pick (caller->callers->forwarder, &query);
+}
+
+bool
+caller_remote_wanted (struct caller *caller)
+{
+  const struct run_request *run = &caller->run;
+  struct callers *callers = caller->callers;
+  if (caller->guest)
+    return false;
+  if (caller->remote.transaction != 0)
+    return true;
+  if (!groups_serves (callers->groups, run->route.group))
+    return true;
+  struct group *group = groups_find (callers->groups, run->route.group);
+  return unreached_leader (caller, group) != NULL
+         && run->tried_count < REMOTE_TRIES && pick (caller) != NULL;
+}
+
+static void
+forget_transaction (struct caller *caller)
+{
+  caller->remote.transaction = 0;
+}
+
+/* Ends the call that is under way; its answer is of no use any more.  */
+static void
+cancel_call (struct caller *caller)
+{
+  struct callers *callers = caller->callers;
+  bool failed = caller_now (caller) - caller->run.sent_ms >= REMOTE_SLOW_MS;
+  if (caller->remote.call == 0)
+    return;
+  hosts_cancel (callers->hosts, caller->remote.call);
+  forwarder_end (callers->forwarder, caller->remote.host.name, failed);
+  caller->remote.call = 0;
+}
+
+void
+caller_remote_stop (struct caller *caller)
+{
+  struct callers *callers = caller->callers;
+  cancel_call (caller);
+  if (caller->remote.transaction == 0)
+    return;
+  peer_body body = { .kind = PEER_KIND_FORWARD };
+  body.peer_body_u.forward
+      = (peer_forward){ .transaction = caller->remote.transaction,
+                        .database = caller->database,
+                        .group = caller->tx_route.group,
+                        .kind = STMT_ROLLBACK,
+                        .id = "-",
+                        .text = "",
+                        .name = "",
+                        .shape = "",
+                        .rest = "" };
+  hosts_call (callers->hosts, &caller->remote.host, &body,
+              caller->tx_route.timeout_ms, NULL, NULL);
+  forget_transaction (caller);
+}
+
+static void
+take_success (struct caller *caller, const struct answer *answer)
+{
+  if (!in_transaction (caller))
+    forget_transaction (caller);
+  else if (caller->run.kind == STMT_COMMIT)
+    {
+      forget_transaction (caller);
+      caller->tx = TX_IDLE;
+    }
+  else
+    caller->tx_ran = true;
+  caller_finish (caller, answer);
+}
+
+/* The host's code is as true here as there: what it says did not run may be
+   tried through another one.  */
+static void
+take_failure (struct caller *caller, const struct answer *answer)
+{
+  struct run_request *run = &caller->run;
+  bool first = !in_transaction (caller)
+               || (!caller->tx_ran && run->kind != STMT_COMMIT);
+  forget_transaction (caller);
+  if (first && code_not_run (answer->code) && run->tried_count < REMOTE_TRIES)
+    {
+      caller->tx_wrote = false;
+      caller_retry (caller, answer->code);
+      return;
+    }
+  if (in_transaction (caller))
+    caller->tx = run->kind == STMT_COMMIT ? TX_IDLE : TX_FAILED;
+  caller_finish (caller, answer);
+}
+
+static void
+take_answer (struct caller *caller, const peer_forwarded *reply)
+{
+  struct position own = { reply->own_term, reply->own_lsn };
+  enum code code
+      = reply->code < CODE_LOST ? (enum code)reply->code : CODE_INDOUBT;
+  struct answer answer = { .code = code };
+  if (position_compare (own, caller->own) > 0)
+    caller->own = own;
+  if (code != CODE_OK)
+    {
+      answer.text = reply->reason;
+      take_failure (caller, &answer);
+      return;
+    }
+  if (reply->answer.answer_len > 0)
+    {
+      /* With its NUL.  */
+      answer.body = reply->answer.answer_val;
+      answer.body_bytes = reply->answer.answer_len - 1;
+    }
+  take_success (caller, &answer);
+}
+
+/* The host did not get the statement, or refused to take it.  */
+static void
+not_delivered (struct caller *caller)
+{
+  if (in_transaction (caller) && caller->tx_ran)
+    {
+      caller_fail (caller, CODE_ABORTED, "the transaction's host is gone");
+      return;
+    }
+  forget_transaction (caller);
+  caller_retry (caller, CODE_BUSY);
+}
+
+/* The statement may have run.  */
+static void
+outcome_unknown (struct caller *caller, enum code code)
+{
+  if (caller_is_repeatable (caller))
+    caller_retry (caller, CODE_LOST);
+  else
+    caller_fail_unknown (caller, code, "the forwarding host did not answer");
+}
+
+static void
+on_reply (void *arg, enum peer_status status, const peer_message *reply)
+{
+  struct caller *caller = arg;
+  struct callers *callers = caller->callers;
+  bool answered
+      = status == PEER_OK && reply->body.kind == PEER_KIND_FORWARDED;
+  caller->remote.call = 0;
+  kernel_timer_cancel (callers->base.kernel, &caller->slow);
+  forwarder_end (callers->forwarder, caller->remote.host.name, !answered);
+  if (answered)
+    take_answer (caller, &reply->body.peer_body_u.forwarded);
+  else if (status == PEER_OK || status == PEER_UNREACHABLE)
+    not_delivered (caller);
+  else
+    outcome_unknown (caller,
+                     status == PEER_TIMEOUT ? CODE_TIMEOUT : CODE_INDOUBT);
+}
+
+bool
+caller_remote_slow (struct caller *caller)
+{
+  if (caller->remote.call == 0)
+    return false;
+  cancel_call (caller);
+  caller_retry (caller, CODE_TIMEOUT);
+  return true;
+}
+
+static char *
+text_or_empty (const char *text)
+{
+  return (char *)(text != NULL ? text : "");
+}
+
+static void
+set_route (const struct caller *caller, peer_forward *request)
+{
+  const struct route *route = &caller->run.route;
+  request->database = (char *)caller->database;
+  request->group = (char *)route->group;
+  request->route_kind = route->kind;
+  request->priority = route->priority;
+  request->max_staleness_ms = route->max_staleness_ms;
+}
+
+static void
+set_statement (const struct caller *caller, peer_forward *request)
+{
+  const struct run_request *run = &caller->run;
+  request->kind = run->kind;
+  request->prepared_kind = run->prepared_kind;
+  request->id = text_or_empty (run->id);
+  request->text = text_or_empty (run->text);
+  request->name = text_or_empty (run->name);
+  request->shape = text_or_empty (run->shape);
+  request->rest = text_or_empty (run->rest);
+}
+
+static void
+send_to_host (struct caller *caller)
+{
+  struct callers *callers = caller->callers;
+  struct run_request *run = &caller->run;
+  clk_ms now_ms = caller_now (caller);
+  clk_ms left_ms = run->arrived_ms + run->route.timeout_ms - now_ms;
+  peer_value values[VALUES_LIMIT];
+  peer_body body = { .kind = PEER_KIND_FORWARD };
+  peer_forward *request = &body.peer_body_u.forward;
+  for (size_t i = 0; i < caller->values.count; i++)
+    values[i] = (peer_value){ .name = caller->values.items[i].name,
+                              .text = caller->values.items[i].text };
+  request->transaction = caller->remote.transaction;
+  request->begins = in_transaction (caller) && !caller->tx_ran;
+  request->read_only = caller->tx_read_only;
+  request->may_wait
+      = !groups_serves (callers->groups, caller->run.route.group);
+  request->timeout_ms
+      = left_ms > REMOTE_MARGIN_MS ? left_ms - REMOTE_MARGIN_MS : 1;
+  request->session_age_ms = now_ms - caller->opened_ms;
+  request->transaction_age_ms
+      = in_transaction (caller) ? now_ms - caller->tx_begun_ms : 0;
+  request->own_term = caller->own.term;
+  request->own_lsn = caller->own.lsn;
+  request->values.values_len = (u_int)caller->values.count;
+  request->values.values_val = values;
+  set_route (caller, request);
+  set_statement (caller, request);
+  run->stage = RUN_SENT;
+  run->sent_ms = now_ms;
+  if (run->writes && in_transaction (caller))
+    caller->tx_wrote = true;
+  forwarder_begin (callers->forwarder, caller->remote.host.name);
+  caller->remote.call
+      = hosts_call (callers->hosts, &caller->remote.host, &body,
+                    left_ms > 0 ? left_ms : 1, on_reply, caller);
+  if (caller_is_repeatable (caller))
+    kernel_timer_set (callers->base.kernel, &caller->slow,
+                      now_ms + REMOTE_SLOW_MS);
+}
+
+void
+caller_remote_dispatch (struct caller *caller)
+{
+  struct callers *callers = caller->callers;
+  struct run_request *run = &caller->run;
+  if (caller->remote.transaction != 0 && caller->tx_ran)
+    {
+      send_to_host (caller);
+      return;
+    }
+  const struct other_host *host
+      = run->tried_count < REMOTE_TRIES ? pick (caller) : NULL;
+  if (host == NULL || !hosts_ready (callers->hosts))
+    {
+      /* Those that failed may be back.  */
+      run->tried_count = 0;
+      caller_hold (caller, "no host to forward to", REMOTE_WAIT_MS);
+      return;
+    }
+  run->attempts++;
+  text_copy (run->tried[run->tried_count++], NAME_BYTES, host->address.name);
+  text_copy (run->instance, sizeof run->instance, host->address.name);
+  caller->remote.host = host->address;
+  caller->remote.transaction
+      = in_transaction (caller) ? rng_u64 (kernel_rng (callers->base.kernel))
+                                : 0;
+  send_to_host (caller);
+}
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -37,8 +37,8 @@
 
 /* Whether the statement must run on the primary.  A transaction that may
    write can't be moved there later.  */
-static bool
-needs_leader (const struct caller *caller)
+bool
+caller_needs_leader (const struct caller *caller)
 {
   const struct run_request *run = &caller->run;
   if (run->writes || run->route.kind == ROUTE_PRIMARY)
@@ -47,8 +47,8 @@
 }
 
 /* Whether the statement alone can be run again after it may have run.  */
-static bool
-is_repeatable (const struct caller *caller)
+bool
+caller_is_repeatable (const struct caller *caller)
 {
   return !in_transaction (caller) && !caller->run.writes;
 }
@@ -78,16 +78,17 @@
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->deadline);
   kernel_timer_cancel (kernel, &caller->slow);
+  caller_remote_stop (caller);
   drop_conn (caller);
 }
 
-/* Ends the statement with CODE; a transaction that it belongs to is ended on
-   its instance first.  */
-static void
-fail (struct caller *caller, enum code code, const char *why)
+void
+caller_fail (struct caller *caller, enum code code, const char *why)
 {
   bool commit = caller->run.kind == STMT_COMMIT;
   backend_cancel (&caller->user);
+  /* The transaction is ended on its instance first.  */
+  caller_remote_stop (caller);
   drop_conn (caller);
   if (in_transaction (caller))
     caller->tx = commit ? TX_IDLE : TX_FAILED;
@@ -105,8 +106,8 @@
 }
 
 /* Ends the statement whose outcome on the instance is not known.  */
-static void
-fail_unknown (struct caller *caller, enum code code, const char *why)
+void
+caller_fail_unknown (struct caller *caller, enum code code, const char *why)
 {
   const struct run_request *run = &caller->run;
   /* Without COMMIT, or without a write, nothing can be kept.  */
@@ -115,7 +116,7 @@
     code = CODE_ABORTED;
   else if (!run->writes && run->kind != STMT_COMMIT)
     code = CODE_TIMEOUT;
-  fail (caller, code, why);
+  caller_fail (caller, code, why);
 }
 
 static void
@@ -123,9 +124,9 @@
 {
   struct caller *caller = arg;
   if (caller->run.stage == RUN_SENT)
-    fail_unknown (caller, CODE_TIMEOUT, "no answer in time");
+    caller_fail_unknown (caller, CODE_TIMEOUT, "no answer in time");
   else
-    fail (caller, refusal_code (caller), "not run in time");
+    caller_fail (caller, refusal_code (caller), "not run in time");
 }
 
 /* Waits for SPAN_MS or a change of the group.  */
@@ -137,8 +138,9 @@
 }
 
 static void
-log_hold (struct caller *caller, struct group *group, const char *why)
+log_hold (struct caller *caller, const char *why)
 {
+  struct group *group = group_of (caller);
   struct backend *leader = group != NULL ? group_leader (group) : NULL;
   clk_ms sampled_ms = group != NULL ? samples_newest_ms (group_samples (group))
                                     : CLK_LONG_AGO;
@@ -152,35 +154,47 @@
                                   : -1));
 }
 
-/* Waits for a primary or a sample, for a bounded time.  */
-static void
-hold (struct caller *caller, struct group *group, const char *why)
+void
+caller_hold (struct caller *caller, const char *why, clk_ms wait_ms)
 {
   struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
   clk_ms now_ms = caller_now (caller);
+  if (caller->guest && !caller->may_wait)
+    {
+      caller_fail (caller, refusal_code (caller), why);
+      return;
+    }
   if (run->held_since_ms == CLK_NEVER)
     {
       run->held_since_ms = now_ms;
-      log_hold (caller, group, why);
+      log_hold (caller, why);
     }
   clk_ms left_ms = run->held_since_ms + CALLER_HOLD_MS - now_ms;
   if (groups_cut_off (caller->callers->groups))
     {
-      fail (caller, refusal_code (caller), "this host is cut off");
+      caller_fail (caller, refusal_code (caller), "this host is cut off");
       return;
     }
   if (left_ms <= 0 || group == NULL)
     {
-      fail (caller, refusal_code (caller), why);
+      caller_fail (caller, refusal_code (caller), why);
       return;
     }
   group_await (group, &caller->waiter);
-  wait_and_retry (caller, left_ms);
+  wait_and_retry (caller, left_ms < wait_ms ? left_ms : wait_ms);
 }
 
-/* Goes on after an attempt that certainly did not run.  */
+/* Waits for a primary or a sample.  */
 static void
-retry (struct caller *caller, enum code code)
+hold (struct caller *caller, const char *why)
+{
+  caller_hold (caller, why, CALLER_HOLD_MS);
+}
+
+/* Goes on after an attempt that certainly did not run.  */
+void
+caller_retry (struct caller *caller, enum code code)
 {
   struct run_request *run = &caller->run;
   struct kernel *kernel = kernel_of (caller);
@@ -192,11 +206,11 @@
              LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms));
   if (run->attempts > 3 * CALLER_TRIES)
     {
-      fail (caller, refusal_code (caller), "refused too often");
+      caller_fail (caller, refusal_code (caller), "refused too often");
       return;
     }
   clk_ms wait_ms = 0;
-  if (code == CODE_BUSY && needs_leader (caller))
+  if (code == CODE_BUSY && caller_needs_leader (caller))
     wait_ms = CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts;
   wait_and_retry (caller, wait_ms);
 }
@@ -217,7 +231,7 @@
   struct run_request *run = &caller->run;
   run->attempts++;
   text_copy (run->instance, sizeof run->instance, backend_entry (backend)->id);
-  if (!needs_leader (caller))
+  if (!caller_needs_leader (caller))
     mark_tried (caller, backend);
   run->stage = RUN_CONNECTING;
   caller->user.priority = run->route.priority;
@@ -237,7 +251,7 @@
   run->proves = !in_transaction (caller) && !run->writes;
   if (leader == NULL || !backend_usable (leader))
     {
-      hold (caller, group, "no primary");
+      hold (caller, "no primary");
       return;
     }
   connect_to (caller, leader);
@@ -285,13 +299,13 @@
   run->proves = false;
   if (group == NULL)
     {
-      hold (caller, group, "no instance");
+      hold (caller, "no instance");
       return;
     }
   if (!run->has_floor && !find_floor (caller, group))
     {
       group_sample (group);
-      hold (caller, group, "no recent position");
+      hold (caller, "no recent position");
       return;
     }
   struct backend *backend
@@ -304,7 +318,7 @@
     }
   if (run->attempts >= 2 * CALLER_TRIES)
     {
-      fail (caller, refusal_code (caller), "no instance can serve it");
+      caller_fail (caller, refusal_code (caller), "no instance can serve it");
       return;
     }
   run->attempts++;
@@ -320,7 +334,9 @@
   kernel_timer_cancel (kernel_of (caller), &caller->again);
   if (caller->conn != NULL)
     run_on (caller, caller->conn);
-  else if (needs_leader (caller))
+  else if (caller_remote_wanted (caller))
+    caller_remote_dispatch (caller);
+  else if (caller_needs_leader (caller))
     dispatch_to_leader (caller);
   else
     dispatch_read (caller);
@@ -350,7 +366,7 @@
   if (run->proves)
     conn_send (conn, STEP_END, &(struct statement){ .kind = STMT_ROLLBACK },
                NULL);
-  if (is_repeatable (caller))
+  if (caller_is_repeatable (caller))
     {
       double usual_ms = backend_typical_ms (conn_backend (conn));
       clk_ms slow_ms = (clk_ms)(CALLER_SLOW_RATIO * usual_ms);
@@ -363,7 +379,7 @@
 send_begin (struct caller *caller)
 {
   struct run_request *run = &caller->run;
-  bool plain = needs_leader (caller);
+  bool plain = caller_needs_leader (caller);
   run->begin_sent_ms = caller_now (caller);
   conn_send (
       caller->conn, STEP_BEGIN,
@@ -405,9 +421,9 @@
     group_behind (group, backend);
   drop_conn (caller);
   if (pinned)
-    fail (caller, CODE_ABORTED, "the instance refused a value");
+    caller_fail (caller, CODE_ABORTED, "the instance refused a value");
   else
-    retry (caller, code_not_run (code) ? code : CODE_BUSY);
+    caller_retry (caller, code_not_run (code) ? code : CODE_BUSY);
 }
 
 /* Learns from a statement that succeeded.  */
@@ -468,19 +484,19 @@
     {
       caller->tx_wrote = false;
       drop_conn (caller);
-      retry (caller, answer->code);
+      caller_retry (caller, answer->code);
       return;
     }
   enum code code = answer->code;
   if (run->kind == STMT_COMMIT && !code_not_run (code))
     {
-      fail_unknown (caller, code == CODE_TIMEOUT ? code : CODE_INDOUBT,
-                    answer->text);
+      caller_fail_unknown (caller, code == CODE_TIMEOUT ? code : CODE_INDOUBT,
+                           answer->text);
       return;
     }
   if (code == CODE_NOSTMT)
     code = CODE_ABORTED;
-  fail (caller, code, answer->text);
+  caller_fail (caller, code, answer->text);
 }
 
 static void
@@ -501,10 +517,10 @@
     }
   drop_conn (caller);
   if (code_not_run (code)
-      || (is_repeatable (caller)
+      || (caller_is_repeatable (caller)
           && (code == CODE_FAILED || code == CODE_TIMEOUT)
           && run->tried_count < CALLER_TRIES))
-    retry (caller, code);
+    caller_retry (caller, code);
   else
     caller_finish (caller, answer);
 }
@@ -545,8 +561,8 @@
       set_up_refused (caller, answer);
       return;
     }
-  if (step == STEP_BEGIN && needs_leader (caller) && answer->has_position
-      && group_of (caller) != NULL)
+  if (step == STEP_BEGIN && caller_needs_leader (caller)
+      && answer->has_position && group_of (caller) != NULL)
     group_proven (group_of (caller), backend, answer->position,
                   run->begin_sent_ms);
   if (conn_outstanding (conn) == 0)
@@ -571,17 +587,17 @@
           caller->tx_untold = true;
         }
       else
-        fail (caller, CODE_ABORTED, "connection lost");
+        caller_fail (caller, CODE_ABORTED, "connection lost");
       return;
     }
-  if (run->stage == RUN_SENT && is_repeatable (caller))
-    retry (caller, CODE_LOST);
+  if (run->stage == RUN_SENT && caller_is_repeatable (caller))
+    caller_retry (caller, CODE_LOST);
   else if (run->stage == RUN_SENT)
-    fail_unknown (caller, CODE_INDOUBT, "connection lost");
+    caller_fail_unknown (caller, CODE_INDOUBT, "connection lost");
   else if (in_transaction (caller) && caller->tx_ran)
-    fail (caller, CODE_ABORTED, "connection lost");
+    caller_fail (caller, CODE_ABORTED, "connection lost");
   else
-    retry (caller, CODE_BUSY);
+    caller_retry (caller, CODE_BUSY);
 }
 
 static const struct conn_user_ops user_ops
@@ -607,10 +623,10 @@
 on_slow (void *arg)
 {
   struct caller *caller = arg;
-  if (caller->run.stage != RUN_SENT)
+  if (caller->run.stage != RUN_SENT || caller_remote_slow (caller))
     return;
   drop_conn (caller);
-  retry (caller, CODE_TIMEOUT);
+  caller_retry (caller, CODE_TIMEOUT);
 }
 
 void
@@ -628,7 +644,7 @@
 {
   struct run_request *run = &caller->run;
   const struct route *route
-      = in_transaction (caller)
+      = in_transaction (caller) || caller->guest
             ? &caller->tx_route
             : catalog_route (caller->callers->catalog, caller->database);
   if (route == NULL)
--- /dev/null
+++ b/src/proxy/forwarder.c
@@ -0,0 +1,183 @@
+#include "proxy/forwarder.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "kernel/mem.h"
+#include "kernel/text.h"
+#include "proxy/placement.h"
+#include "proxy/roster.h"
+
+/* A host that statements were forwarded to.  */
+struct peer_load
+{
+  char host[NAME_BYTES];
+  uint32_t outstanding;
+  clk_ms down_until_ms;
+  UT_hash_handle hh;
+};
+
+struct forwarder
+{
+  struct module base;
+  struct hosts *hosts;
+  struct placement *placement;
+  struct roster *roster;
+  struct peer_load *loads;
+};
+
+static struct peer_load *
+find_load (const struct forwarder *forwarder, const char *host)
+{
+  struct peer_load *load;
+  HASH_FIND_STR (forwarder->loads, host, load);
+  return load;
+}
+
+/* Forgets hosts that are idle and were not found wanting, so that hosts that
+   were replaced don't add up.  */
+static void
+drop_idle (struct forwarder *forwarder)
+{
+  clk_ms now_ms = kernel_now (forwarder->base.kernel);
+  struct peer_load *load, *next;
+  HASH_ITER (hh, forwarder->loads, load, next)
+  {
+    if (load->outstanding > 0 || load->down_until_ms > now_ms)
+      continue;
+    HASH_DEL (forwarder->loads, load);
+    free (load);
+  }
+}
+
+static struct peer_load *
+ensure_load (struct forwarder *forwarder, const char *host)
+{
+  struct peer_load *load = find_load (forwarder, host);
+  if (load != NULL)
+    return load;
+  size_t hosts;
+  hosts_list (forwarder->hosts, &hosts);
+  if (HASH_COUNT (forwarder->loads) > 2 * hosts + 1)
+    drop_idle (forwarder);
+  load = mem_zalloc (sizeof *load);
+  text_copy (load->host, sizeof load->host, host);
+  HASH_ADD_STR (forwarder->loads, host, load);
+  return load;
+}
+
+void
+forwarder_begin (struct forwarder *forwarder, const char *host)
+{
+  ensure_load (forwarder, host)->outstanding++;
+}
+
+void
+forwarder_end (struct forwarder *forwarder, const char *host, bool failed)
+{
+  struct peer_load *load = ensure_load (forwarder, host);
+  if (load->outstanding > 0)
+    load->outstanding--;
+  if (!failed)
+    return;
+  struct kernel *kernel = forwarder->base.kernel;
+  load->down_until_ms = kernel_now (kernel) + FORWARDER_DOWN_MS;
+  log_event (kernel_log (kernel), LOG_INFO, "host_unreachable",
+             LOG_S ("host", host));
+}
+
+static bool
+was_tried (const struct forwarder_query *query, const char *host)
+{
+  for (size_t i = 0; i < query->tried_count; i++)
+    if (strcmp (query->tried[i], host) == 0)
+      return true;
+  return false;
+}
+
+/* Cost of HOST, or a negative number if it can't serve the query.  */
+static double
+host_cost (const struct forwarder *forwarder,
+           const struct forwarder_query *query, const struct other_host *host)
+{
+  const char *name = host->address.name;
+  struct kernel *kernel = forwarder->base.kernel;
+  const struct peer_load *load = find_load (forwarder, name);
+  double cost = 0;
+  if (was_tried (query, name))
+    return -1;
+  if (load != NULL && load->down_until_ms > kernel_now (kernel))
+    return -1;
+  if (query->instance != NULL
+      && roster_host_reports (forwarder->roster, query->group, query->instance,
+                              name))
+    return -1;
+  if (load != NULL)
+    cost += load->outstanding;
+  if (strcmp (host->zone, hosts_own_zone (forwarder->hosts)) != 0)
+    cost += FORWARDER_DOMAIN_COST;
+  /* Hosts that know the same must not all choose the same.  */
+  return cost + rng_unit (kernel_rng (kernel));
+}
+
+const struct other_host *
+forwarder_pick (struct forwarder *forwarder,
+                const struct forwarder_query *query)
+{
+  const struct placed_group *placed
+      = placement_find (forwarder->placement, query->group);
+  const struct other_host *best = NULL;
+  double best_cost = 0;
+  for (size_t i = 0; i < placed->count; i++)
+    {
+      double cost = host_cost (forwarder, query, placed->hosts[i]);
+      if (cost < 0 || (best != NULL && cost >= best_cost))
+        continue;
+      best = placed->hosts[i];
+      best_cost = cost;
+    }
+  return best;
+}
+
+static void
+forwarder_start (struct module *module)
+{
+  struct forwarder *forwarder = (struct forwarder *)module;
+  struct kernel *kernel = module->kernel;
+  forwarder->hosts = (struct hosts *)kernel_find (kernel, "hosts");
+  forwarder->placement = (struct placement *)kernel_find (kernel, "placement");
+  forwarder->roster = (struct roster *)kernel_find (kernel, "roster");
+}
+
+static void
+forwarder_free (struct module *module)
+{
+  struct forwarder *forwarder = (struct forwarder *)module;
+  struct peer_load *load, *next;
+  HASH_ITER (hh, forwarder->loads, load, next)
+  {
+    HASH_DEL (forwarder->loads, load);
+    free (load);
+  }
+  free (forwarder);
+}
+
+static const struct module_ops forwarder_ops
+    = { .start = forwarder_start, .free = forwarder_free };
+
+struct forwarder *
+forwarder_new (void)
+{
+  struct forwarder *forwarder = mem_zalloc (sizeof *forwarder);
+  forwarder->base.ops = &forwarder_ops;
+  forwarder->base.name = "forwarder";
+  return forwarder;
+}
+
+struct module *
+forwarder_module (struct forwarder *forwarder)
+{
+  return &forwarder->base;
+}
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -1,54 +1,12 @@
-#include "proxy/group.h"
+#include "proxy/group_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
 #include <utlist.h>
 
 #include "kernel/mem.h"
 
-struct member_instance
-{
-  struct group *group;
-  struct backend *backend;
-  clk_ms behind_ms; /* when it last refused a position */
-  clk_ms gone_ms;   /* when its entry was found gone; CLK_NEVER */
-};
-
-struct group
-{
-  struct groups *groups;
-  struct group_settings settings;
-  struct samples samples;
-  size_t count;
-  struct member_instance *instances[GROUP_INSTANCES];
-  struct backend *leader;
-  clk_ms leaderless_ms;
-  clk_ms used_ms;
-  struct group_waiter *waiters;
-  UT_hash_handle hh;
-};
-
-struct groups
-{
-  struct module base;
-  struct groups_options options;
-  char zone[NAME_BYTES];
-  struct catalog *catalog;
-  struct group *table;
-  size_t hosts;
-  bool watch;
-  bool cut_off;
-  struct ktimer tick;
-};
-
-static clk_ms
-now_ms (const struct group *group)
-{
-  return kernel_now (group->groups->base.kernel);
-}
-
 void
 group_await (struct group *group, struct group_waiter *waiter)
 {
@@ -93,7 +51,7 @@
     return;
   group->leader = leader;
   if (leader == NULL)
-    group->leaderless_ms = now_ms (group);
+    group->leaderless_ms = group_now (group);
   log_event (
       kernel_log (group->groups->base.kernel), LOG_NOTICE, "primary",
       LOG_S ("group", group->settings.name),
@@ -101,7 +59,7 @@
       LOG_S ("before", before ? backend_entry (before)->id : NULL),
       LOG_S ("why", why),
       LOG_I ("leaderless_ms", leader != NULL && before == NULL
-                                  ? now_ms (group) - group->leaderless_ms
+                                  ? group_now (group) - group->leaderless_ms
                                   : 0));
   if (leader == NULL)
     tick_soon (group->groups);
@@ -131,7 +89,7 @@
 {
   for (size_t i = 0; i < group->count; i++)
     if (group->instances[i]->backend == backend)
-      group->instances[i]->behind_ms = now_ms (group);
+      group->instances[i]->behind_ms = group_now (group);
 }
 
 static void
@@ -157,13 +115,19 @@
   wake_waiters (instance->group);
 }
 
-/* Connections of an instance that this host may open.  */
+/* Connections of an instance that this host may open.  The holder of the
+   duty has to ask every instance.  */
 static uint32_t
 fair_share (const struct group *group)
 {
-  size_t hosts = group->groups->hosts;
+  struct groups *groups = group->groups;
+  const struct placed_group *placed
+      = placement_find (groups->placement, group->settings.name);
+  size_t hosts = placed->count + 1;
   size_t limit = group->settings.connections;
-  if (hosts == 0)
+  if (!placed->served_here)
+    return groups->watch ? 1 : 0;
+  if (!groups->counted)
     return GROUP_SHARE_FIRST;
   size_t share = limit > BACKEND_RESERVED_CONNECTIONS
                      ? (limit - BACKEND_RESERVED_CONNECTIONS) / hosts
@@ -232,18 +196,29 @@
   group->groups = groups;
   memcpy (group->settings.name, name, strlen (name) + 1);
   group->settings.connections = 1;
+  group->served = group->connected = true;
   group->leaderless_ms = kernel_now (groups->base.kernel);
   HASH_ADD_STR (groups->table, settings.name, group);
   return group;
 }
 
+static void
+update_share (struct group *group)
+{
+  const struct placed_group *placed
+      = placement_find (group->groups->placement, group->settings.name);
+  uint32_t share = fair_share (group);
+  group->served = placed->served_here;
+  group->connected = share > 0;
+  for (size_t i = 0; i < group->count; i++)
+    backend_set_share (group->instances[i]->backend, share);
+}
+
 static void
 update_shares (struct groups *groups)
 {
   struct group *group, *next;
-  HASH_ITER (hh, groups->table, group, next)
-  for (size_t i = 0; i < group->count; i++)
-    backend_set_share (group->instances[i]->backend, fair_share (group));
+  HASH_ITER (hh, groups->table, group, next) { update_share (group); }
 }
 
 static void
@@ -288,7 +263,7 @@
   instance = find_instance (group, entry->id);
   if (instance == NULL || !entry->is_primary)
     return;
-  if (group->leader == NULL)
+  if (group->leader == NULL || !group->connected)
     set_leader (group, instance->backend, "entry");
   else if (group->leader != instance->backend)
     backend_probe (instance->backend);
@@ -310,7 +285,7 @@
     struct instance_entry entry = *backend_entry (instance->backend);
     entry.draining = true;
     backend_set_entry (instance->backend, &entry);
-    instance->gone_ms = now_ms (group);
+    instance->gone_ms = group_now (group);
   }
 }
 
@@ -322,7 +297,7 @@
       struct member_instance *instance = group->instances[i];
       if (instance->gone_ms != CLK_NEVER
           && (instance->backend != group->leader
-              || now_ms (group) - instance->gone_ms >= GROUP_GONE_MS))
+              || group_now (group) - instance->gone_ms >= GROUP_GONE_MS))
         remove_instance (group, instance);
     }
 }
@@ -331,7 +306,8 @@
 group_doubt_leader (struct group *group)
 {
   if (group->leader != NULL
-      && now_ms (group) - backend_heard_ms (group->leader) >= GROUP_WATCH_MS)
+      && group_now (group) - backend_heard_ms (group->leader)
+             >= GROUP_WATCH_MS)
     backend_probe (group->leader);
 }
 
@@ -340,9 +316,9 @@
 tend_leader (struct group *group)
 {
   struct groups *groups = group->groups;
-  clk_ms age_ms = now_ms (group) - samples_newest_ms (&group->samples);
+  clk_ms age_ms = group_now (group) - samples_newest_ms (&group->samples);
   clk_ms limit_ms = groups->watch ? GROUP_WATCH_MS : GROUP_SAMPLE_MS;
-  bool in_use = now_ms (group) - group->used_ms < GROUP_IN_USE_MS;
+  bool in_use = group_now (group) - group->used_ms < GROUP_IN_USE_MS;
   if (group->leader == NULL || !backend_usable (group->leader))
     {
       for (size_t i = 0; i < group->count; i++)
@@ -361,68 +337,11 @@
     {
       struct backend *backend = group->instances[i]->backend;
       backend_check (backend);
-      if (now_ms (group) - backend_heard_ms (backend) >= GROUP_IDLE_MS)
+      if (group_now (group) - backend_heard_ms (backend) >= GROUP_IDLE_MS)
         backend_probe (backend);
     }
 }
 
-/* Another failure domain, and its instances.  */
-struct other_domain
-{
-  const char *zone;
-  bool reached;
-};
-
-static struct other_domain *
-find_domain (struct other_domain *domains, size_t *count, const char *zone)
-{
-  for (size_t i = 0; i < *count; i++)
-    if (strcmp (domains[i].zone, zone) == 0)
-      return &domains[i];
-  if (*count == GROUP_DOMAINS)
-    return NULL;
-  domains[*count] = (struct other_domain){ .zone = zone };
-  return &domains[(*count)++];
-}
-
-/* Finds out whether this host is cut off.  While an instance elsewhere can't
-   be reached, the others are asked that were silent of late.  */
-static void
-check_domains (struct groups *groups)
-{
-  struct other_domain domains[GROUP_DOMAINS];
-  struct backend *doubted[GROUP_INSTANCES];
-  struct group *group, *next;
-  size_t count = 0, lost = 0, unusable = 0, doubtful = 0;
-  HASH_ITER (hh, groups->table, group, next)
-  for (size_t i = 0; i < group->count; i++)
-    {
-      struct backend *backend = group->instances[i]->backend;
-      const char *zone = backend_entry (backend)->zone;
-      if (strcmp (zone, groups->zone) == 0)
-        continue;
-      struct other_domain *domain = find_domain (domains, &count, zone);
-      if (domain != NULL)
-        domain->reached |= backend_usable (backend);
-      unusable += !backend_usable (backend);
-      if (backend_usable (backend) && doubtful < GROUP_INSTANCES
-          && now_ms (group) - backend_heard_ms (backend) >= GROUP_DOUBT_MS)
-        doubted[doubtful++] = backend;
-    }
-  for (size_t i = 0; unusable > 0 && i < doubtful; i++)
-    backend_probe (doubted[i]);
-  for (size_t i = 0; i < count; i++)
-    lost += !domains[i].reached;
-  bool cut_off = count >= 2 && 2 * lost > count;
-  if (cut_off == groups->cut_off)
-    return;
-  groups->cut_off = cut_off;
-  log_event (kernel_log (groups->base.kernel),
-             cut_off ? LOG_WARNING : LOG_NOTICE,
-             cut_off ? "cut_off" : "cut_off_ended", LOG_U ("lost", lost),
-             LOG_U ("domains", count));
-}
-
 static void
 on_tick (void *arg)
 {
@@ -432,13 +351,16 @@
   clk_ms span_ms = GROUP_TICK_MS;
   HASH_ITER (hh, groups->table, group, next)
   {
+    update_share (group);
     drop_gone (group);
+    if (!group->connected)
+      continue;
     check_instances (group);
     tend_leader (group);
     if (group->leader == NULL && group->count > 0)
       span_ms = GROUP_SEARCH_MS;
   }
-  check_domains (groups);
+  groups_check_domains (groups);
   kernel_timer_set (kernel, &groups->tick, kernel_now (kernel) + span_ms);
 }
 
@@ -460,18 +382,24 @@
 }
 
 void
-groups_set_hosts (struct groups *groups, size_t hosts)
+groups_hosts_counted (struct groups *groups)
 {
-  if (hosts == groups->hosts)
-    return;
-  groups->hosts = hosts;
+  groups->counted = true;
   update_shares (groups);
 }
 
+bool
+groups_serves (struct groups *groups, const char *name)
+{
+  struct group *group = groups_find (groups, name);
+  return group == NULL || group->served;
+}
+
 void
 groups_set_watch (struct groups *groups, bool watch)
 {
   groups->watch = watch;
+  update_shares (groups);
 }
 
 bool
@@ -489,7 +417,7 @@
   for (size_t i = 0; i < config->route_count; i++)
     {
       struct group *group = groups_find (groups, config->routes[i].group);
-      bool reached = false;
+      bool reached = group != NULL && !group->served;
       for (size_t k = 0; group != NULL && k < group->count; k++)
         reached |= backend_open_connections (group->instances[k]->backend) > 0;
       if (!reached)
@@ -498,6 +426,12 @@
   return true;
 }
 
+bool
+group_connected (const struct group *group)
+{
+  return group->connected;
+}
+
 const char *
 group_name (const struct group *group)
 {
@@ -539,86 +473,18 @@
 void
 group_sample (struct group *group)
 {
-  group->used_ms = now_ms (group);
+  group->used_ms = group_now (group);
   if (group->leader != NULL)
     backend_probe (group->leader);
 }
 
-static bool
-was_tried (const struct backend *backend, const char tried[][NAME_BYTES],
-           size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (tried[i], backend_entry (backend)->id) == 0)
-      return true;
-  return false;
-}
-
-/* Expected time of a read on INSTANCE, with what it costs others.  */
-static double
-read_cost (const struct group *group, const struct member_instance *instance,
-           struct position floor)
-{
-  const struct backend *backend = instance->backend;
-  const struct instance_entry *entry = backend_entry (backend);
-  uint32_t slots = entry->slots > 0 ? entry->slots : 1;
-  double typical_ms = backend_typical_ms (backend) + 1.0;
-  double cost = typical_ms * (1.0 + (double)backend_busy (backend) / slots);
-  cost += GROUP_REFUSAL_COST_MS * backend_refusal_share (backend);
-  if (strcmp (entry->zone, group->groups->zone) != 0)
-    cost += GROUP_DOMAIN_COST_MS;
-  if (backend == group->leader)
-    cost += GROUP_PRIMARY_COST_MS;
-  else if (position_compare (backend_position (backend), floor) < 0)
-    cost += GROUP_BEHIND_COST_MS;
-  if (backend_idle (backend) == 0)
-    cost += GROUP_CONNECT_COST_MS * (1 + backend_waiting (backend));
-  return cost;
-}
-
-/* Whether INSTANCE is known to lack FLOOR.  */
-static bool
-lacks (const struct group *group, const struct member_instance *instance,
-       struct position floor)
-{
-  return now_ms (group) - instance->behind_ms < GROUP_BEHIND_MS
-         && position_compare (backend_position (instance->backend), floor) < 0;
-}
-
-struct backend *
-group_pick (struct group *group, struct position floor,
-            const char tried[][NAME_BYTES], size_t tried_count)
-{
-  struct rng *rng = kernel_rng (group->groups->base.kernel);
-  struct backend *best = NULL;
-  double best_cost = 0;
-  group->used_ms = now_ms (group);
-  for (size_t i = 0; i < group->count; i++)
-    {
-      struct member_instance *instance = group->instances[i];
-      struct backend *backend = instance->backend;
-      if (!backend_usable (backend) || was_tried (backend, tried, tried_count)
-          || lacks (group, instance, floor))
-        continue;
-      if (backend_entry (backend)->draining && backend != group->leader)
-        continue;
-      /* Hosts that know the same must not all choose the same.  */
-      double cost
-          = read_cost (group, instance, floor) * (0.9 + 0.2 * rng_unit (rng));
-      if (best == NULL || cost < best_cost)
-        {
-          best = backend;
-          best_cost = cost;
-        }
-    }
-  return best;
-}
-
 static void
 groups_start (struct module *module)
 {
   struct groups *groups = (struct groups *)module;
   groups->catalog = (struct catalog *)kernel_find (module->kernel, "catalog");
+  groups->placement
+      = (struct placement *)kernel_find (module->kernel, "placement");
   catalog_watch (groups->catalog,
                  &(struct catalog_watch){ .config = on_config,
                                           .instance = on_instance,
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -56,7 +56,7 @@
 #define GROUP_GONE_MS 2000
 
 /* Connections of an instance that one host counts on at the most.  */
-#define GROUP_SHARE_LIMIT 6
+#define GROUP_SHARE_LIMIT 8
 /* The same while the hosts are not counted yet.  */
 #define GROUP_SHARE_FIRST 2
 
@@ -89,8 +89,12 @@
 void groups_each (struct groups *groups,
                   void (*fn) (void *arg, struct group *group), void *arg);
 
-/* Sets how many hosts share the connections of the instances.  */
-void groups_set_hosts (struct groups *groups, size_t hosts);
+/* The hosts that share the connections of the instances are known.  */
+void groups_hosts_counted (struct groups *groups);
+
+/* Whether statements for the group NAME run on this host's connections; true
+   for one that is not known.  */
+bool groups_serves (struct groups *groups, const char *name);
 
 /* Whether every group that a route names has an instance that answers.  */
 bool groups_ready (struct groups *groups);
@@ -103,6 +107,10 @@
 /* Sets whether this host watches over the primaries.  */
 void groups_set_watch (struct groups *groups, bool watch);
 
+/* Whether this host has connections to the group's instances: to serve it,
+   or to watch over its primary.  */
+bool group_connected (const struct group *group);
+
 const char *group_name (const struct group *group);
 const struct group_settings *group_settings (const struct group *group);
 const struct samples *group_samples (const struct group *group);
--- /dev/null
+++ b/src/proxy/group_impl.h
@@ -0,0 +1,58 @@
+/* group_impl - what the files of the groups module share.  */
+
+#ifndef SAVORYWAY_PROXY_GROUP_IMPL_H
+#define SAVORYWAY_PROXY_GROUP_IMPL_H
+
+#include <uthash.h>
+
+#include "proxy/group.h"
+#include "proxy/placement.h"
+
+struct member_instance
+{
+  struct group *group;
+  struct backend *backend;
+  clk_ms behind_ms; /* when it last refused a position */
+  clk_ms gone_ms;   /* when its entry was found gone; CLK_NEVER */
+};
+
+struct group
+{
+  struct groups *groups;
+  struct group_settings settings;
+  struct samples samples;
+  size_t count;
+  struct member_instance *instances[GROUP_INSTANCES];
+  struct backend *leader;
+  clk_ms leaderless_ms;
+  clk_ms used_ms;
+  bool served;    /* callers' statements run on this host's connections */
+  bool connected; /* this host has connections */
+  struct group_waiter *waiters;
+  UT_hash_handle hh;
+};
+
+struct groups
+{
+  struct module base;
+  struct groups_options options;
+  char zone[NAME_BYTES];
+  struct catalog *catalog;
+  struct placement *placement;
+  struct group *table;
+  bool counted; /* the other hosts are known */
+  bool watch;
+  bool cut_off;
+  struct ktimer tick;
+};
+
+static inline clk_ms
+group_now (const struct group *group)
+{
+  return kernel_now (group->groups->base.kernel);
+}
+
+/* group_domains.c: finds out whether this host is cut off.  */
+void groups_check_domains (struct groups *groups);
+
+#endif
--- /dev/null
+++ b/src/proxy/group_read.c
@@ -0,0 +1,75 @@
+/* Chooses the instance of a read.  */
+
+#include "proxy/group_impl.h"
+
+#include <string.h>
+
+static bool
+was_tried (const struct backend *backend, const char tried[][NAME_BYTES],
+           size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (tried[i], backend_entry (backend)->id) == 0)
+      return true;
+  return false;
+}
+
+/* Expected time of a read on INSTANCE, with what it costs others.  */
+static double
+read_cost (const struct group *group, const struct member_instance *instance,
+           struct position floor)
+{
+  const struct backend *backend = instance->backend;
+  const struct instance_entry *entry = backend_entry (backend);
+  uint32_t slots = entry->slots > 0 ? entry->slots : 1;
+  double typical_ms = backend_typical_ms (backend) + 1.0;
+  double cost = typical_ms * (1.0 + (double)backend_busy (backend) / slots);
+  cost += GROUP_REFUSAL_COST_MS * backend_refusal_share (backend);
+  if (strcmp (entry->zone, group->groups->zone) != 0)
+    cost += GROUP_DOMAIN_COST_MS;
+  if (backend == group->leader)
+    cost += GROUP_PRIMARY_COST_MS;
+  else if (position_compare (backend_position (backend), floor) < 0)
+    cost += GROUP_BEHIND_COST_MS;
+  if (backend_idle (backend) == 0)
+    cost += GROUP_CONNECT_COST_MS * (1 + backend_waiting (backend));
+  return cost;
+}
+
+/* Whether INSTANCE is known to lack FLOOR.  */
+static bool
+lacks (const struct group *group, const struct member_instance *instance,
+       struct position floor)
+{
+  return group_now (group) - instance->behind_ms < GROUP_BEHIND_MS
+         && position_compare (backend_position (instance->backend), floor) < 0;
+}
+
+struct backend *
+group_pick (struct group *group, struct position floor,
+            const char tried[][NAME_BYTES], size_t tried_count)
+{
+  struct rng *rng = kernel_rng (group->groups->base.kernel);
+  struct backend *best = NULL;
+  double best_cost = 0;
+  group->used_ms = group_now (group);
+  for (size_t i = 0; i < group->count; i++)
+    {
+      struct member_instance *instance = group->instances[i];
+      struct backend *backend = instance->backend;
+      if (!backend_usable (backend) || was_tried (backend, tried, tried_count)
+          || lacks (group, instance, floor))
+        continue;
+      if (backend_entry (backend)->draining && backend != group->leader)
+        continue;
+      /* Hosts that know the same must not all choose the same.  */
+      double cost
+          = read_cost (group, instance, floor) * (0.9 + 0.2 * rng_unit (rng));
+      if (best == NULL || cost < best_cost)
+        {
+          best = backend;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/src/proxy/guests.h
@@ -0,0 +1,33 @@
+/* guests - statements of other hosts' sessions, run on this host's
+   connections.
+
+   A statement outside of a transaction leaves nothing here.  A transaction
+   stays from its first statement to its last, under the number that the
+   sender chose; one whose sender falls silent is ended once it has been idle
+   for longer than the sender would leave it so.
+
+   Module name: "guests".  */
+
+#ifndef SAVORYWAY_PROXY_GUESTS_H
+#define SAVORYWAY_PROXY_GUESTS_H
+
+#include "kernel/kernel.h"
+
+/* Beyond the idle limit of transactions, which their own host enforces.  */
+#define GUESTS_IDLE_MARGIN_MS 1000
+
+/* The same where the configuration sets no limit.  */
+#define GUESTS_IDLE_DEFAULT_MS 60000
+
+struct guests;
+
+struct guests *guests_new (void);
+struct module *guests_module (struct guests *guests);
+
+/* Statements that run and transactions that are open.  */
+size_t guests_count (const struct guests *guests);
+
+/* From now on this host takes no new statement or transaction: it leaves.  */
+void guests_refuse (struct guests *guests);
+
+#endif
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -404,7 +404,8 @@
   struct promoter *promoter = arg;
   struct change *change = ensure_change (promoter, group_name (group));
   struct backend *leader = group_leader (group);
-  bool unreachable = leader != NULL && !backend_usable (leader);
+  bool unreachable
+      = group_connected (group) && leader != NULL && !backend_usable (leader);
   uint64_t token;
   roster_report (promoter->roster, group_name (group),
                  unreachable ? backend_entry (leader)->id : NULL);
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -100,28 +100,16 @@
   register_host (arg);
 }
 
-static void
-count_host (struct roster *roster, const char *zone)
+static bool
+is_host_key (const char *name)
 {
-  struct roster_domain *domain = roster->domains;
-  size_t i = 0;
-  while (i < roster->domain_count && strcmp (domain[i].name, zone) != 0)
-    i++;
-  if (i == ROSTER_DOMAINS || strlen (zone) >= NAME_BYTES)
-    return;
-  if (i == roster->domain_count)
-    {
-      roster->domain_count++;
-      domain[i] = (struct roster_domain){ 0 };
-      text_copy (domain[i].name, NAME_BYTES, zone);
-    }
-  domain[i].hosts++;
+  return strncmp (name, HOSTS_PREFIX, strlen (HOSTS_PREFIX)) == 0;
 }
 
 static bool
-is_host_key (const char *name)
+is_report_key (const char *name)
 {
-  return strncmp (name, HOSTS_PREFIX, strlen (HOSTS_PREFIX)) == 0;
+  return strncmp (name, REPORTS_PREFIX, strlen (REPORTS_PREFIX)) == 0;
 }
 
 /* Splits a registration, "DOMAIN ADDRESS PORT".  */
@@ -140,30 +128,22 @@
   return true;
 }
 
-/* Counts the registered hosts; this one counts while its registration is on
-   its way.  */
+/* Tells which other hosts are registered.  */
 static void
 count_hosts (struct roster *roster)
 {
-  struct peer_address others[WITNESS_FANOUT], address;
   const struct roster_key *key;
-  char zone[NAME_BYTES];
-  size_t other_count = 0;
-  roster->domain_count = 0;
-  count_host (roster, roster->zone);
-  roster->host_count = 1;
+  size_t count = 0;
+  struct other_host *others
+      = mem_zalloc ((HASH_COUNT (roster->keys) + 1) * sizeof *others);
   for (key = roster->keys; key != NULL; key = key->hh.next)
-    {
-      if (!is_host_key (key->name) || !parse_registration (key, zone, &address)
-          || strcmp (address.name, roster->host) == 0)
-        continue;
-      count_host (roster, zone);
-      roster->host_count++;
-      if (other_count < WITNESS_FANOUT)
-        others[other_count++] = address;
-    }
-  witness_set_hosts (roster->witness, others, other_count);
-  groups_set_hosts (roster->groups, roster->host_count);
+    if (is_host_key (key->name)
+        && parse_registration (key, others[count].zone, &others[count].address)
+        && strcmp (others[count].address.name, roster->host) != 0)
+      count++;
+  hosts_set (roster->hosts, others, count);
+  free (others);
+  groups_hosts_counted (roster->groups);
 }
 
 void
@@ -213,11 +193,22 @@
   roster_write_key (roster, NULL, SECRET_KEY, text, 0, ignore_reply, NULL);
 }
 
+/* Sets NAME to the host of a duty's value, "HOST INCARNATION".  */
+static const char *
+holder_name (const struct roster_key *key, char name[NAME_BYTES])
+{
+  if (key == NULL || sscanf (key->value, "%63s", name) != 1)
+    return NULL;
+  return name;
+}
+
 static void
 duty_changed (struct roster *roster)
 {
+  char holder[NAME_BYTES];
   const struct roster_key *key = roster_find_key (roster, DUTY_KEY);
   bool mine = key != NULL && strcmp (key->value, roster->self) == 0;
+  witness_set_holder (roster->witness, holder_name (key, holder));
   if (mine)
     ensure_secret (roster);
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty",
@@ -240,6 +231,7 @@
   char own[KEY_BYTES];
   own_host_key (roster, own);
   bool own_gone = strcmp (key->name, own) == 0;
+  roster->report_keys -= is_report_key (key->name);
   HASH_DEL (roster->keys, key);
   free (key);
   if (host)
@@ -265,6 +257,7 @@
       key = mem_zalloc (sizeof *key);
       text_copy (key->name, sizeof key->name, item->key);
       HASH_ADD_STR (roster->keys, name, key);
+      roster->report_keys += is_report_key (key->name);
     }
   key->listed = true;
   bool changed = is_new || key->revision != item->index;
@@ -273,7 +266,7 @@
   snprintf (key->value, sizeof key->value, "%s", item->value);
   if (is_new && is_host_key (key->name))
     count_hosts (roster);
-  if (strncmp (key->name, REPORTS_PREFIX, strlen (REPORTS_PREFIX)) == 0)
+  if (is_report_key (key->name))
     roster_adopt_report (roster, key->name);
   if (strcmp (key->name, SECRET_KEY) == 0)
     take_secret (roster, key->value);
@@ -343,6 +336,9 @@
                                   .arg = roster };
   snprintf (roster->self, sizeof roster->self, "%s %llu", roster->host,
             (unsigned long long)rng_u64 (kernel_rng (module->kernel)));
+  roster->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  roster->placement
+      = (struct placement *)kernel_find (module->kernel, "placement");
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
   roster->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
   roster->witness = (struct witness *)kernel_find (module->kernel, "witness");
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -84,8 +84,8 @@
 void roster_report (struct roster *roster, const char *group,
                     const char *instance);
 
-/* Who can't reach an instance.  A failure domain counts as reporting if half
-   of its hosts do.  */
+/* Who can't reach an instance, of the hosts that have connections to its
+   group.  A failure domain counts as reporting if half of its hosts do.  */
 struct roster_view
 {
   size_t hosts;
@@ -94,10 +94,15 @@
   size_t domains_reporting;
 };
 
-/* Counts the hosts that report INSTANCE, this one included.  */
+/* Counts the hosts that report INSTANCE, this one included; all 0 if nothing
+   is reported at all.  */
 struct roster_view roster_reports (const struct roster *roster,
                                    const char *group, const char *instance);
 
+/* Whether HOST reports INSTANCE.  */
+bool roster_host_reports (const struct roster *roster, const char *group,
+                          const char *instance, const char *host);
+
 /* Ends the lease and all that stands under it.  */
 void roster_leave (struct roster *roster);
 
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -6,8 +6,10 @@
 #include <uthash.h>
 
 #include "proxy/group.h"
+#include "proxy/hosts.h"
 #include "proxy/lease.h"
 #include "proxy/mirror.h"
+#include "proxy/placement.h"
 #include "proxy/roster.h"
 #include "proxy/witness.h"
 
@@ -34,13 +36,6 @@
   UT_hash_handle hh;
 };
 
-/* A failure domain, and its registered hosts.  */
-struct roster_domain
-{
-  char name[NAME_BYTES];
-  size_t hosts;
-};
-
 /* What this host wants to stand in the store.  */
 struct roster_report_state
 {
@@ -74,12 +69,12 @@
   bool has_secret;
   bool store_refuses; /* the last call was refused or not answered */
   struct witness *witness;
+  struct hosts *hosts;
+  struct placement *placement;
   struct groups *groups;
   struct mirror *mirror;
   struct roster_key *keys;
-  size_t host_count;
-  size_t domain_count;
-  struct roster_domain domains[ROSTER_DOMAINS];
+  size_t report_keys; /* of them, reports */
   struct lease *host_lease;
   struct lease *duty_lease;
   bool duty_call;
--- a/src/proxy/roster_reports.c
+++ b/src/proxy/roster_reports.c
@@ -169,19 +169,96 @@
   return roster_find_key (roster, own) == NULL;
 }
 
+bool
+roster_host_reports (const struct roster *roster, const char *group,
+                     const char *instance, const char *host)
+{
+  char name[KEY_BYTES];
+  size_t length = strlen (instance);
+  snprintf (name, sizeof name, REPORTS_PREFIX "%s/%s", group, host);
+  const struct roster_key *key = roster_find_key (roster, name);
+  if (key != NULL && strncmp (key->value, instance, length) == 0
+      && key->value[length] == ' ')
+    return true;
+  return witness_hears (roster->witness, group, instance, host);
+}
+
+/* A failure domain, and its hosts with connections to a group.  */
+struct report_domain
+{
+  const char *name;
+  size_t hosts;
+};
+
+struct report_domains
+{
+  size_t count;
+  struct report_domain items[ROSTER_DOMAINS];
+};
+
+static void
+count_hosts_of (struct report_domains *domains, const char *zone, size_t hosts)
+{
+  size_t i = 0;
+  while (i < domains->count && strcmp (domains->items[i].name, zone) != 0)
+    i++;
+  if (i == ROSTER_DOMAINS)
+    return;
+  if (i == domains->count)
+    domains->items[domains->count++] = (struct report_domain){ .name = zone };
+  domains->items[i].hosts += hosts;
+}
+
+/* Lists the failure domains, and counts the hosts that have connections to
+   GROUP; this host counts while its registration is on its way.  */
+static void
+list_domains (const struct roster *roster, const char *group,
+              struct report_domains *domains)
+{
+  const struct placed_group *placed
+      = placement_find (roster->placement, group);
+  size_t count;
+  const struct other_host *others = hosts_list (roster->hosts, &count);
+  count_hosts_of (domains, roster->zone, placed->served_here);
+  for (size_t i = 0; i < placed->count; i++)
+    count_hosts_of (domains, placed->hosts[i]->zone, 1);
+  for (size_t i = 0; i < count; i++)
+    count_hosts_of (domains, others[i].zone, 0);
+}
+
+/* Whether there is any report at all, so that most of the time none need be
+   counted.  */
+static bool
+has_reports (const struct roster *roster)
+{
+  const struct roster_report_state *state;
+  for (state = roster->reports; state != NULL; state = state->hh.next)
+    if (state->wanted[0] != '\0')
+      return true;
+  return roster->report_keys > 0 || witness_hears_any (roster->witness);
+}
+
 struct roster_view
 roster_reports (const struct roster *roster, const char *group,
                 const char *instance)
 {
-  struct roster_view view = { .domains = roster->domain_count };
-  for (size_t i = 0; i < roster->domain_count; i++)
+  struct report_domains domains = { 0 };
+  struct roster_view view = { 0 };
+  if (!has_reports (roster))
+    return view;
+  list_domains (roster, group, &domains);
+  for (size_t i = 0; i < domains.count; i++)
     {
-      const struct roster_domain *domain = &roster->domains[i];
+      const struct report_domain *domain = &domains.items[i];
       size_t reports = count_reports (roster, group, instance, domain->name);
       if (strcmp (domain->name, roster->zone) == 0)
         reports += reports_itself (roster, group, instance);
-      view.hosts += domain->hosts;
+      /* Also those of the holder of the duty, which may not serve GROUP.  */
       view.hosts_reporting += reports;
+      if (domain->hosts == 0)
+        continue;
+      view.hosts += domain->hosts;
+      view.domains++;
       view.domains_reporting += 2 * reports >= domain->hosts;
     }
   return view;
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -81,7 +81,8 @@
 {
   enum code code;
   const char *text; /* of an error */
-  const char *body; /* rows and signature as received; NULL: empty success */
+  /* Rows and signature as received, ended by a NUL; NULL: empty success.  */
+  const char *body;
   size_t body_bytes;
   enum tx_state state;
   bool has_position;
--- a/src/proxy/witness.c
+++ b/src/proxy/witness.c
@@ -8,6 +8,7 @@
 
 #include "kernel/mem.h"
 #include "kernel/text.h"
+#include "proxy/hosts.h"
 
 /* What this host reports.  */
 struct own_report
@@ -33,37 +34,35 @@
 struct witness
 {
   struct module base;
-  struct peer_port *port;
-  char host[NAME_BYTES];
-  char zone[NAME_BYTES];
+  struct hosts *hosts;
+  char holder[NAME_BYTES]; /* of the duty; empty: none */
   struct own_report *reports;
   struct voice *voices;
-  size_t host_count;
-  struct peer_address hosts[WITNESS_FANOUT];
   struct ktimer tell;
 };
 
-static void
-on_reply (void *arg, enum peer_status status, const peer_message *reply)
-{
-  (void)arg;
-  (void)status; /* told again soon */
-  (void)reply;
-}
-
 static void
 tell_host (struct witness *witness, const struct own_report *report,
            const struct peer_address *to)
 {
-  peer_message message
-      = { .from = { .host = witness->host, .domain = witness->zone },
-          .body = { .kind = PEER_KIND_SUSPICION } };
-  message.body.peer_body_u.suspicion
+  peer_body body = { .kind = PEER_KIND_SUSPICION };
+  body.peer_body_u.suspicion
       = (peer_suspicion){ .database = (char *)report->group,
                           .primary = (char *)report->instance,
                           .suspected = report->instance[0] != '\0' };
-  witness->port->ops->call (witness->port, to, &message, WITNESS_CALL_MS,
-                            on_reply, witness);
+  /* Told again soon, whatever comes of it.  */
+  hosts_call (witness->hosts, to, &body, WITNESS_CALL_MS, NULL, NULL);
+}
+
+static void
+tell_hosts (struct witness *witness, const struct own_report *report)
+{
+  size_t count;
+  const struct other_host *others = hosts_list (witness->hosts, &count);
+  for (size_t i = 0; i < count; i++)
+    if (i < WITNESS_FANOUT
+        || strcmp (others[i].address.name, witness->holder) == 0)
+      tell_host (witness, report, &others[i].address);
 }
 
 static void
@@ -94,8 +93,7 @@
         continue;
       again |= report->instance[0] != '\0';
       report->taken_back = false;
-      for (size_t i = 0; witness->port != NULL && i < witness->host_count; i++)
-        tell_host (witness, report, &witness->hosts[i]);
+      tell_hosts (witness, report);
     }
   if (again)
     kernel_timer_set (kernel, &witness->tell,
@@ -126,7 +124,7 @@
 }
 
 static struct voice *
-find_voice (struct witness *witness, const char *host, const char *group)
+find_voice (const struct witness *witness, const char *host, const char *group)
 {
   struct voice *voice;
   DL_FOREACH (witness->voices, voice)
@@ -141,6 +139,7 @@
 hear (struct witness *witness, const peer_message *message)
 {
   const peer_suspicion *report = &message->body.peer_body_u.suspicion;
+  drop_stale (witness);
   struct voice *voice
       = find_voice (witness, message->from.host, report->database);
   if (voice == NULL)
@@ -160,32 +159,18 @@
 }
 
 static void
-on_message (void *arg, uint64_t call, const peer_message *message)
+on_suspicion (void *arg, uint64_t call, const peer_message *message)
 {
   struct witness *witness = arg;
-  peer_message reply
-      = { .from = { .host = witness->host, .domain = witness->zone },
-          .body = { .kind = PEER_KIND_NONE } };
-  if (message->body.kind == PEER_KIND_SUSPICION)
-    hear (witness, message);
-  else
-    reply.body.kind = PEER_KIND_REFUSED;
-  witness->port->ops->reply (witness->port, call, &reply);
-}
-
-void
-witness_set_port (struct witness *witness, struct peer_port *port)
-{
-  witness->port = port;
-  port->ops->set_handler (port, on_message, witness);
+  hear (witness, message);
+  hosts_reply (witness->hosts, call, &(peer_body){ .kind = PEER_KIND_NONE });
 }
 
 void
-witness_set_hosts (struct witness *witness,
-                   const struct peer_address *addresses, size_t count)
+witness_set_holder (struct witness *witness, const char *host)
 {
-  witness->host_count = count < WITNESS_FANOUT ? count : WITNESS_FANOUT;
-  memcpy (witness->hosts, addresses, witness->host_count * sizeof *addresses);
+  if (host == NULL || !text_copy (witness->holder, NAME_BYTES, host))
+    witness->holder[0] = '\0';
 }
 
 void
@@ -204,6 +189,30 @@
   }
 }
 
+bool
+witness_hears (const struct witness *witness, const char *group,
+               const char *instance, const char *host)
+{
+  const struct voice *voice = find_voice (witness, host, group);
+  return voice != NULL
+         && kernel_now (witness->base.kernel) - voice->heard_ms
+                <= WITNESS_FRESH_MS
+         && strcmp (voice->instance, instance) == 0;
+}
+
+bool
+witness_hears_any (const struct witness *witness)
+{
+  clk_ms now_ms = kernel_now (witness->base.kernel);
+  const struct voice *voice;
+  DL_FOREACH (witness->voices, voice)
+  {
+    if (now_ms - voice->heard_ms <= WITNESS_FRESH_MS)
+      return true;
+  }
+  return false;
+}
+
 static void
 witness_free (struct module *module)
 {
@@ -224,16 +233,23 @@
   free (witness);
 }
 
-static const struct module_ops witness_ops = { .free = witness_free };
+static void
+witness_start (struct module *module)
+{
+  struct witness *witness = (struct witness *)module;
+  witness->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  hosts_handle (witness->hosts, PEER_KIND_SUSPICION, on_suspicion, witness);
+}
+
+static const struct module_ops witness_ops
+    = { .start = witness_start, .free = witness_free };
 
 struct witness *
-witness_new (const struct witness_options *options)
+witness_new (void)
 {
   struct witness *witness = mem_zalloc (sizeof *witness);
   witness->base.ops = &witness_ops;
   witness->base.name = "witness";
-  text_copy (witness->host, sizeof witness->host, options->host);
-  text_copy (witness->zone, sizeof witness->zone, options->zone);
   witness->tell = (struct ktimer){ .fire = on_tell, .arg = witness };
   return witness;
 }
--- a/src/proxy/witness.h
+++ b/src/proxy/witness.h
@@ -11,14 +11,15 @@
 #ifndef SAVORYWAY_PROXY_WITNESS_H
 #define SAVORYWAY_PROXY_WITNESS_H
 
+#include <stdbool.h>
+
 #include "kernel/kernel.h"
-#include "port/peer_port.h"
 
 #define WITNESS_TELL_MS 500
 #define WITNESS_FRESH_MS 1400
 #define WITNESS_CALL_MS 700
 
-/* Hosts that one host tells; more know from those that have the duty.  */
+/* Hosts that one host tells, besides the one that has the duty.  */
 #define WITNESS_FANOUT 32
 
 /* In place of a group and an instance, for the store.  */
@@ -26,21 +27,11 @@
 
 struct witness;
 
-struct witness_options
-{
-  const char *host;
-  const char *zone;
-};
-
-struct witness *witness_new (const struct witness_options *options);
+struct witness *witness_new (void);
 struct module *witness_module (struct witness *witness);
 
-/* Messages go through PORT from now on.  */
-void witness_set_port (struct witness *witness, struct peer_port *port);
-
-/* Sets the hosts that are told, without this one.  ADDRESSES are copied.  */
-void witness_set_hosts (struct witness *witness,
-                        const struct peer_address *addresses, size_t count);
+/* HOST has the duty to promote: it is told in any case.  NULL: none has.  */
+void witness_set_holder (struct witness *witness, const char *host);
 
 /* This host can't reach INSTANCE of GROUP; NULL: it can.  */
 void witness_report (struct witness *witness, const char *group,
@@ -53,4 +44,11 @@
                    void (*fn) (void *arg, const char *host, const char *zone),
                    void *arg);
 
+/* Whether HOST's report about INSTANCE is fresh.  */
+bool witness_hears (const struct witness *witness, const char *group,
+                    const char *instance, const char *host);
+
+/* Whether any report that was heard is fresh.  */
+bool witness_hears_any (const struct witness *witness);
+
 #endif
