Send a forwarded statement again only if its host answers nothing

Cause: a read that waited for a slot was sent to a second and third host after 600 ms, while the first went on trying; at the crest that tripled the load, and the overload outlasted the burst by 5 s.

Change: a statement goes elsewhere only if its host has answered nothing since; one that is given up, by its caller or here, is ended there as well.

--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -192,7 +192,8 @@
 typedef struct peer_value peer_value;
 
 struct peer_forward {
-	u_quad_t transaction;
+	u_quad_t number;
+	bool_t in_transaction;
 	bool_t begins;
 	bool_t read_only;
 	bool_t may_wait;
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -154,9 +154,11 @@
 /* A statement of a caller's session, for a host with connections to the
    instances of its group, with all of the session that it depends on.  */
 struct peer_forward {
-  unsigned hyper transaction; /* chosen by the sender; 0: outside of one */
-  bool begins;                /* first statement of the transaction */
-  bool read_only;             /* likewise */
+  unsigned hyper number; /* of the statement or transaction; chosen by the
+                            sender */
+  bool in_transaction;
+  bool begins;    /* first statement of the transaction */
+  bool read_only; /* likewise */
   bool may_wait;              /* for a primary */
   peer_name database;
   peer_name group;
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -298,10 +298,12 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->in_transaction))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->begins))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->read_only))
@@ -310,6 +312,7 @@
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_BOOL(buf, objp->in_transaction);
 		IXDR_PUT_BOOL(buf, objp->begins);
 		IXDR_PUT_BOOL(buf, objp->read_only);
 		IXDR_PUT_BOOL(buf, objp->may_wait);
@@ -353,10 +356,12 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->in_transaction))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->begins))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->read_only))
@@ -365,6 +370,7 @@
 				 return FALSE;
 
 		} else {
+		objp->in_transaction = IXDR_GET_BOOL(buf);
 		objp->begins = IXDR_GET_BOOL(buf);
 		objp->read_only = IXDR_GET_BOOL(buf);
 		objp->may_wait = IXDR_GET_BOOL(buf);
@@ -409,7 +415,9 @@
 	 return TRUE;
 	}
 
-	 if (!xdr_u_quad_t (xdrs, &objp->transaction))
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->in_transaction))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->begins))
 		 return FALSE;
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -46,8 +46,9 @@
 /* What runs through another host.  */
 struct remote_run
 {
-  uint64_t transaction; /* its number there; 0: none is open */
-  uint64_t call;        /* under way; 0: none */
+  uint64_t number; /* there, of the statement or the open transaction; 0: none
+                    */
+  uint64_t call;   /* under way; 0: none */
   struct peer_address host;
 };
 
--- a/src/proxy/caller_remote.c
+++ b/src/proxy/caller_remote.c
@@ -14,10 +14,13 @@
 /* After a host refused a new statement, or none is known.  */
 #define REMOTE_WAIT_MS 30
 
-/* A host that does not answer a read for this long is passed over; longer
-   than it waits itself for an instance.  */
+/* A read is tried at another host after this, unless the one that has it
+   answers other statements: then its instances are busy.  */
 #define REMOTE_SLOW_MS 600
 
+/* Time limit of telling a host that a transaction has ended.  */
+#define REMOTE_END_MS 1000
+
 /* Hosts that one statement may be tried on.  */
 #define REMOTE_TRIES 3
 
@@ -60,7 +63,7 @@
   struct callers *callers = caller->callers;
   if (caller->guest)
     return false;
-  if (caller->remote.transaction != 0)
+  if (caller->remote.number != 0)
     return true;
   if (!groups_serves (callers->groups, run->route.group))
     return true;
@@ -70,17 +73,28 @@
 }
 
 static void
-forget_transaction (struct caller *caller)
+forget_number (struct caller *caller)
+{
+  caller->remote.number = 0;
+}
+
+/* Whether the host has answered nothing since the statement was sent.  */
+static bool
+is_silent (const struct caller *caller)
 {
-  caller->remote.transaction = 0;
+  const struct run_request *run = &caller->run;
+  return caller_now (caller) - run->sent_ms >= REMOTE_SLOW_MS
+         && forwarder_heard_ms (caller->callers->forwarder,
+                                caller->remote.host.name)
+                < run->sent_ms;
 }
 
-/* Ends the call that is under way; its answer is of no use any more.  */
+/* Forgets the call that is under way; its answer is of no use any more.  */
 static void
 cancel_call (struct caller *caller)
 {
   struct callers *callers = caller->callers;
-  bool failed = caller_now (caller) - caller->run.sent_ms >= REMOTE_SLOW_MS;
+  bool failed = is_silent (caller);
   if (caller->remote.call == 0)
     return;
   hosts_cancel (callers->hosts, caller->remote.call);
@@ -93,13 +107,14 @@
 {
   struct callers *callers = caller->callers;
   cancel_call (caller);
-  if (caller->remote.transaction == 0)
+  if (caller->remote.number == 0)
     return;
   peer_body body = { .kind = PEER_KIND_FORWARD };
   body.peer_body_u.forward
-      = (peer_forward){ .transaction = caller->remote.transaction,
+      = (peer_forward){ .number = caller->remote.number,
+                        .in_transaction = true,
                         .database = caller->database,
-                        .group = caller->tx_route.group,
+                        .group = "",
                         .kind = STMT_ROLLBACK,
                         .id = "-",
                         .text = "",
@@ -107,18 +122,18 @@
                         .shape = "",
                         .rest = "" };
   hosts_call (callers->hosts, &caller->remote.host, &body,
-              caller->tx_route.timeout_ms, NULL, NULL);
-  forget_transaction (caller);
+              REMOTE_END_MS, NULL, NULL);
+  forget_number (caller);
 }
 
 static void
 take_success (struct caller *caller, const struct answer *answer)
 {
   if (!in_transaction (caller))
-    forget_transaction (caller);
+    forget_number (caller);
   else if (caller->run.kind == STMT_COMMIT)
     {
-      forget_transaction (caller);
+      forget_number (caller);
       caller->tx = TX_IDLE;
     }
   else
@@ -134,7 +149,7 @@
   struct run_request *run = &caller->run;
   bool first = !in_transaction (caller)
                || (!caller->tx_ran && run->kind != STMT_COMMIT);
-  forget_transaction (caller);
+  forget_number (caller);
   if (first && code_not_run (answer->code) && run->tried_count < REMOTE_TRIES)
     {
       caller->tx_wrote = false;
@@ -179,7 +194,7 @@
       caller_fail (caller, CODE_ABORTED, "the transaction's host is gone");
       return;
     }
-  forget_transaction (caller);
+  forget_number (caller);
   caller_retry (caller, CODE_BUSY);
 }
 
@@ -188,7 +203,10 @@
 outcome_unknown (struct caller *caller, enum code code)
 {
   if (caller_is_repeatable (caller))
-    caller_retry (caller, CODE_LOST);
+    {
+      caller_remote_stop (caller);
+      caller_retry (caller, CODE_LOST);
+    }
   else
     caller_fail_unknown (caller, code, "the forwarding host did not answer");
 }
@@ -202,6 +220,8 @@
       = status == PEER_OK && reply->body.kind == PEER_KIND_FORWARDED;
   caller->remote.call = 0;
   kernel_timer_cancel (callers->base.kernel, &caller->slow);
+  if (status == PEER_OK)
+    forwarder_heard (callers->forwarder, caller->remote.host.name);
   forwarder_end (callers->forwarder, caller->remote.host.name, !answered);
   if (answered)
     take_answer (caller, &reply->body.peer_body_u.forwarded);
@@ -215,9 +235,16 @@
 bool
 caller_remote_slow (struct caller *caller)
 {
+  struct kernel *kernel = caller->callers->base.kernel;
   if (caller->remote.call == 0)
     return false;
-  cancel_call (caller);
+  if (!is_silent (caller))
+    {
+      kernel_timer_set (kernel, &caller->slow,
+                        kernel_now (kernel) + REMOTE_SLOW_MS);
+      return true;
+    }
+  caller_remote_stop (caller);
   caller_retry (caller, CODE_TIMEOUT);
   return true;
 }
@@ -265,7 +292,8 @@
   for (size_t i = 0; i < caller->values.count; i++)
     values[i] = (peer_value){ .name = caller->values.items[i].name,
                               .text = caller->values.items[i].text };
-  request->transaction = caller->remote.transaction;
+  request->number = caller->remote.number;
+  request->in_transaction = in_transaction (caller);
   request->begins = in_transaction (caller) && !caller->tx_ran;
   request->read_only = caller->tx_read_only;
   request->may_wait
@@ -299,7 +327,7 @@
 {
   struct callers *callers = caller->callers;
   struct run_request *run = &caller->run;
-  if (caller->remote.transaction != 0 && caller->tx_ran)
+  if (caller->remote.number != 0 && caller->tx_ran)
     {
       send_to_host (caller);
       return;
@@ -317,8 +345,6 @@
   text_copy (run->tried[run->tried_count++], NAME_BYTES, host->address.name);
   text_copy (run->instance, sizeof run->instance, host->address.name);
   caller->remote.host = host->address;
-  caller->remote.transaction
-      = in_transaction (caller) ? rng_u64 (kernel_rng (callers->base.kernel))
-                                : 0;
+  caller->remote.number = rng_u64 (kernel_rng (callers->base.kernel)) | 1;
   send_to_host (caller);
 }
--- a/src/proxy/forwarder.c
+++ b/src/proxy/forwarder.c
@@ -16,6 +16,7 @@
   char host[NAME_BYTES];
   uint32_t outstanding;
   clk_ms down_until_ms;
+  clk_ms heard_ms;
   UT_hash_handle hh;
 };
 
@@ -63,6 +64,7 @@
   if (HASH_COUNT (forwarder->loads) > 2 * hosts + 1)
     drop_idle (forwarder);
   load = mem_zalloc (sizeof *load);
+  load->heard_ms = CLK_LONG_AGO;
   text_copy (load->host, sizeof load->host, host);
   HASH_ADD_STR (forwarder->loads, host, load);
   return load;
@@ -88,6 +90,19 @@
              LOG_S ("host", host));
 }
 
+void
+forwarder_heard (struct forwarder *forwarder, const char *host)
+{
+  ensure_load (forwarder, host)->heard_ms = kernel_now (forwarder->base.kernel);
+}
+
+clk_ms
+forwarder_heard_ms (const struct forwarder *forwarder, const char *host)
+{
+  const struct peer_load *load = find_load (forwarder, host);
+  return load != NULL ? load->heard_ms : CLK_LONG_AGO;
+}
+
 static bool
 was_tried (const struct forwarder_query *query, const char *host)
 {
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -44,4 +44,11 @@
 void forwarder_end (struct forwarder *forwarder, const char *host,
                     bool failed);
 
+/* Notes an answer of HOST.  */
+void forwarder_heard (struct forwarder *forwarder, const char *host);
+
+/* When HOST last answered; CLK_LONG_AGO if it is not known.  */
+clk_ms forwarder_heard_ms (const struct forwarder *forwarder,
+                           const char *host);
+
 #endif
--- a/src/proxy/guests.c
+++ b/src/proxy/guests.c
@@ -13,7 +13,8 @@
 struct guest
 {
   struct guests *guests;
-  uint64_t transaction; /* 0: a statement of its own */
+  uint64_t number; /* chosen by the sender */
+  bool in_transaction;
   uint64_t call;        /* to be answered; 0 between statements */
   struct caller *caller;
   struct ktimer end;
@@ -99,7 +100,7 @@
 {
   struct guest *guest = arg;
   reply_answer (guest, answer);
-  arm_end (guest, guest->transaction == 0 || answer->state != TX_OPEN);
+  arm_end (guest, !guest->in_transaction || answer->state != TX_OPEN);
 }
 
 static void
@@ -108,7 +109,8 @@
   hosts_reply (guests->hosts, call, &(peer_body){ .kind = PEER_KIND_REFUSED });
 }
 
-/* Answers a statement of a transaction that is not open here.  */
+/* Answers a statement of a transaction that is not open here, or the end of
+   what has ended.  */
 static void
 reply_unknown (struct guests *guests, uint64_t call, bool rollback)
 {
@@ -121,12 +123,12 @@
 }
 
 static struct guest *
-find_guest (const struct guests *guests, uint64_t transaction)
+find_guest (const struct guests *guests, uint64_t number)
 {
   struct guest *guest;
   DL_FOREACH (guests->list, guest)
   {
-    if (guest->transaction == transaction)
+    if (guest->number == number)
       return guest;
   }
   return NULL;
@@ -161,7 +163,8 @@
     }
   guest->guests = guests;
   guest->caller = caller;
-  guest->transaction = request->transaction;
+  guest->number = request->number;
+  guest->in_transaction = request->in_transaction;
   guest->end = (struct ktimer){ .fire = on_end, .arg = guest };
   DL_APPEND (guests->list, guest);
   guests->count++;
@@ -239,15 +242,13 @@
 {
   struct guests *guests = arg;
   const peer_forward *request = &message->body.peer_body_u.forward;
-  struct guest *guest = NULL;
-  if (request->transaction != 0)
-    guest = find_guest (guests, request->transaction);
+  struct guest *guest = find_guest (guests, request->number);
   if (guest != NULL)
     {
       go_on (guest, call, request);
       return;
     }
-  if (request->transaction != 0 && !request->begins)
+  if (request->in_transaction && !request->begins)
     {
       reply_unknown (guests, call, request->kind == STMT_ROLLBACK);
       return;
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -529,9 +529,33 @@
   ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
 }
 
-UNIT_TEST (test_a_transaction_whose_entry_host_dies_is_ended)
+static size_t
+count_guests (void)
 {
   size_t guests = 0;
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (fleet_host (fleet, i)->running)
+      guests += guests_count (fleet_host (fleet, i)->guests);
+  return guests;
+}
+
+UNIT_TEST (test_a_forwarded_statement_ends_with_its_caller)
+{
+  use_scarce_fleet ();
+  struct fleet_caller *caller
+      = fleet_caller_open (forwarding_host (), FLEET_DATABASE_BOUNDED);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    fleet_instance (fleet, i)->busy_percent = 100;
+  fleet_caller_send (caller, STMT_READ, "a", NULL);
+  fleet_run (fleet, 10);
+  ck_assert_uint_eq (count_guests (), 1);
+  fleet_caller_close (caller);
+  fleet_run (fleet, 10);
+  ck_assert_uint_eq (count_guests (), 0);
+}
+
+UNIT_TEST (test_a_transaction_whose_entry_host_dies_is_ended)
+{
   use_scarce_fleet ();
   struct fleet_host *host = forwarding_host ();
   struct fleet_caller *caller
@@ -540,10 +564,7 @@
   ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
   fleet_host_kill (host);
   fleet_run (fleet, 3000 + GUESTS_IDLE_MARGIN_MS + 100);
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
-    if (fleet_host (fleet, i)->running)
-      guests += guests_count (fleet_host (fleet, i)->guests);
-  ck_assert_uint_eq (guests, 0);
+  ck_assert_uint_eq (count_guests (), 0);
 }
 
 UNIT_PLAIN (test_hosts_take_as_many_groups_as_the_connections_allow)
