Refuse at once a statement that would wait beyond its target

Change: admission counts who waits for a group here and what runs meanwhile; a statement that has to expect more than its target is refused at once. A transaction that has run waits in any case. Hosts that forward pass the refusal on.

--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -202,6 +202,7 @@
 	u_int route_kind;
 	u_int priority;
 	quad_t timeout_ms;
+	quad_t target_ms;
 	quad_t max_staleness_ms;
 	quad_t session_age_ms;
 	quad_t transaction_age_ms;
@@ -223,6 +224,7 @@
 
 struct peer_forwarded {
 	u_int code;
+	bool_t overloaded;
 	char *reason;
 	struct {
 		u_int answer_len;
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -165,6 +165,7 @@
   unsigned int route_kind;
   unsigned int priority;
   hyper timeout_ms; /* what is left of it */
+  hyper target_ms;  /* likewise */
   hyper max_staleness_ms;
   hyper session_age_ms;
   hyper transaction_age_ms;
@@ -183,6 +184,7 @@
 /* How it ended.  */
 struct peer_forwarded {
   unsigned int code;
+  bool overloaded; /* refused as too many wait for the group's instances */
   string reason<PEER_TEXT_LIMIT>;
   opaque answer<PEER_RESULT_LIMIT>;
   peer_name instance;
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -327,6 +327,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->target_ms))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
@@ -385,6 +387,8 @@
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->target_ms))
+			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
 			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
@@ -435,6 +439,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->timeout_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->target_ms))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->max_staleness_ms))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->session_age_ms))
@@ -472,6 +478,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->code))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->overloaded))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->reason, PEER_TEXT_LIMIT))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, PEER_RESULT_LIMIT))
--- /dev/null
+++ b/src/proxy/admission.c
@@ -0,0 +1,48 @@
+#include "proxy/admission.h"
+
+/* Weight of the newest span in the rate.  */
+#define SPAN_WEIGHT 0.4
+
+/* Ends the span.  What ran while nothing waited tells nothing of how much
+   can run.  */
+static void
+pass_time (struct admission *admission, clk_ms now_ms)
+{
+  clk_ms spent_ms = now_ms - admission->span_begin_ms;
+  if (spent_ms < ADMISSION_SPAN_MS)
+    return;
+  double rate = (double)admission->ran / (double)spent_ms;
+  if (admission->busy && admission->waiting > 0 && rate > 0)
+    admission->per_ms += (admission->per_ms == 0 ? 1.0 : SPAN_WEIGHT)
+                         * (rate - admission->per_ms);
+  admission->busy = admission->waiting > 0;
+  admission->span_begin_ms = now_ms;
+  admission->ran = 0;
+}
+
+void
+admission_note_ran (struct admission *admission, clk_ms now_ms)
+{
+  pass_time (admission, now_ms);
+  admission->ran++;
+}
+
+bool
+admission_enter (struct admission *admission, clk_ms now_ms, clk_ms left_ms)
+{
+  pass_time (admission, now_ms);
+  bool fits = admission->waiting < ADMISSION_WAITING;
+  if (admission->per_ms == 0)
+    fits |= admission->waiting < ADMISSION_WAITING_FIRST;
+  else
+    fits |= (double)admission->waiting <= admission->per_ms * (double)left_ms;
+  if (fits)
+    admission->waiting++;
+  return fits;
+}
+
+void
+admission_leave (struct admission *admission)
+{
+  admission->waiting--;
+}
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -65,6 +65,8 @@
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->slow);
   group_cancel (&caller->waiter);
+  if (caller->run.queue != NULL)
+    admission_leave (caller->run.queue);
   text_copy (caller->served_by, sizeof caller->served_by,
              caller->run.instance);
   run_clear (&caller->run);
@@ -206,6 +208,7 @@
   run->id = mem_strdup (statement->id);
   run->arrived_ms = caller_now (caller);
   run->held_since_ms = CLK_NEVER;
+  caller->overloaded = false;
 }
 
 static void
@@ -345,6 +348,8 @@
   struct kernel *kernel = callers->base.kernel;
   caller_run_stop (caller);
   kernel_timer_cancel (kernel, &caller->idle);
+  if (caller->run.queue != NULL)
+    admission_leave (caller->run.queue);
   run_clear (&caller->run);
   values_clear (&caller->values);
   while (caller->prepared_count > 0)
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -37,6 +37,7 @@
   enum code refusal;         /* of the last attempt */
   bool proves;               /* read on the primary inside a plain BEGIN */
   bool begins;               /* opens the transaction on the instance */
+  struct admission *queue;   /* that it waits in; NULL: none */
   bool has_floor;
   struct position floor;
   size_t tried_count;
@@ -86,6 +87,7 @@
   struct ktimer slow;     /* a read without an answer */
   struct run_request run;
   struct remote_run remote;
+  bool overloaded; /* the last statement was refused as too many wait */
   char served_by[NAME_BYTES]; /* instance of the last statement */
   bool guest;                 /* of another host's session */
   bool may_wait;              /* guest: for a primary */
--- a/src/proxy/caller_remote.c
+++ b/src/proxy/caller_remote.c
@@ -110,19 +110,18 @@
   if (caller->remote.number == 0)
     return;
   peer_body body = { .kind = PEER_KIND_FORWARD };
-  body.peer_body_u.forward
-      = (peer_forward){ .number = caller->remote.number,
-                        .in_transaction = true,
-                        .database = caller->database,
-                        .group = "",
-                        .kind = STMT_ROLLBACK,
-                        .id = "-",
-                        .text = "",
-                        .name = "",
-                        .shape = "",
-                        .rest = "" };
-  hosts_call (callers->hosts, &caller->remote.host, &body,
-              REMOTE_END_MS, NULL, NULL);
+  body.peer_body_u.forward = (peer_forward){ .number = caller->remote.number,
+                                             .in_transaction = true,
+                                             .database = caller->database,
+                                             .group = "",
+                                             .kind = STMT_ROLLBACK,
+                                             .id = "-",
+                                             .text = "",
+                                             .name = "",
+                                             .shape = "",
+                                             .rest = "" };
+  hosts_call (callers->hosts, &caller->remote.host, &body, REMOTE_END_MS, NULL,
+              NULL);
   forget_number (caller);
 }
 
@@ -150,7 +149,8 @@
   bool first = !in_transaction (caller)
                || (!caller->tx_ran && run->kind != STMT_COMMIT);
   forget_number (caller);
-  if (first && code_not_run (answer->code) && run->tried_count < REMOTE_TRIES)
+  if (first && code_not_run (answer->code) && !caller->overloaded
+      && run->tried_count < REMOTE_TRIES)
     {
       caller->tx_wrote = false;
       caller_retry (caller, answer->code);
@@ -168,6 +168,7 @@
   enum code code
       = reply->code < CODE_LOST ? (enum code)reply->code : CODE_INDOUBT;
   struct answer answer = { .code = code };
+  caller->overloaded = reply->overloaded;
   if (position_compare (own, caller->own) > 0)
     caller->own = own;
   if (code != CODE_OK)
@@ -216,8 +217,7 @@
 {
   struct caller *caller = arg;
   struct callers *callers = caller->callers;
-  bool answered
-      = status == PEER_OK && reply->body.kind == PEER_KIND_FORWARDED;
+  bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FORWARDED;
   caller->remote.call = 0;
   kernel_timer_cancel (callers->base.kernel, &caller->slow);
   if (status == PEER_OK)
@@ -298,6 +298,7 @@
   request->read_only = caller->tx_read_only;
   request->may_wait
       = !groups_serves (callers->groups, caller->run.route.group);
+  request->target_ms = run->arrived_ms + run->route.target_ms - now_ms;
   request->timeout_ms
       = left_ms > REMOTE_MARGIN_MS ? left_ms - REMOTE_MARGIN_MS : 1;
   request->session_age_ms = now_ms - caller->opened_ms;
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -129,6 +129,33 @@
     caller_fail (caller, refusal_code (caller), "not run in time");
 }
 
+/* Joins those that wait for a slot or a connection.  Returns false if the
+   statement would not be served in time: then it has been refused.
+   Transactions that have run already wait in any case.  */
+static bool
+queue_up (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = group_of (caller);
+  if (run->queue != NULL || group == NULL
+      || (in_transaction (caller) && caller->tx_ran))
+    return true;
+  struct admission *queue
+      = group_admission (group, caller_needs_leader (caller));
+  clk_ms now_ms = caller_now (caller);
+  clk_ms span_ms = run->route.target_ms != 0 ? run->route.target_ms
+                                             : run->route.timeout_ms;
+  clk_ms left_ms = run->arrived_ms + span_ms - now_ms;
+  if (admission_enter (queue, now_ms, left_ms))
+    {
+      run->queue = queue;
+      return true;
+    }
+  caller->overloaded = true;
+  caller_fail (caller, CODE_BUSY, "too many wait");
+  return false;
+}
+
 /* Waits for SPAN_MS or a change of the group.  */
 static void
 wait_and_retry (struct caller *caller, clk_ms span_ms)
@@ -239,6 +266,8 @@
   struct backend_conn *conn = backend_take (backend, &caller->user);
   if (conn != NULL)
     run_on (caller, conn);
+  else
+    queue_up (caller);
 }
 
 static void
@@ -321,6 +350,8 @@
       caller_fail (caller, refusal_code (caller), "no instance can serve it");
       return;
     }
+  if (!queue_up (caller))
+    return;
   run->attempts++;
   raise_floor (caller, group);
   group_await (group, &caller->waiter);
@@ -453,7 +484,11 @@
 main_succeeded (struct caller *caller, struct backend *backend,
                 const struct answer *answer)
 {
+  struct group *group = group_of (caller);
   learn (caller, backend, answer);
+  if (group != NULL)
+    admission_note_ran (group_admission (group, caller_needs_leader (caller)),
+                        caller_now (caller));
   if (!in_transaction (caller))
     drop_conn (caller);
   else if (caller->run.kind == STMT_COMMIT)
@@ -475,6 +510,8 @@
     {
       /* The transaction stands and the statement did not run.  */
       run->refusal = CODE_BUSY;
+      if (!queue_up (caller))
+        return;
       run->attempts++;
       wait_and_retry (caller, CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts);
       return;
@@ -516,6 +553,9 @@
       return;
     }
   drop_conn (caller);
+  run->refusal = code;
+  if (code == CODE_BUSY && caller_needs_leader (caller) && !queue_up (caller))
+    return;
   if (code_not_run (code)
       || (caller_is_repeatable (caller)
           && (code == CODE_FAILED || code == CODE_TIMEOUT)
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -462,6 +462,12 @@
   return group->leader == NULL ? group->leaderless_ms : CLK_NEVER;
 }
 
+struct admission *
+group_admission (struct group *group, bool primary)
+{
+  return primary ? &group->for_primary : &group->for_any;
+}
+
 size_t
 group_instances (struct group *group, struct backend *out[GROUP_INSTANCES])
 {
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -10,6 +10,7 @@
 #define SAVORYWAY_PROXY_GROUP_H
 
 #include "kernel/kernel.h"
+#include "proxy/admission.h"
 #include "proxy/backend.h"
 #include "proxy/catalog.h"
 #include "proxy/samples.h"
@@ -123,6 +124,9 @@
 size_t group_instances (struct group *group,
                         struct backend *out[GROUP_INSTANCES]);
 
+/* Who waits for slots: of the primary, or of any instance.  */
+struct admission *group_admission (struct group *group, bool primary);
+
 void group_await (struct group *group, struct group_waiter *waiter);
 void group_cancel (struct group_waiter *waiter);
 
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -29,6 +29,8 @@
   bool served;    /* callers' statements run on this host's connections */
   bool connected; /* this host has connections */
   struct group_waiter *waiters;
+  struct admission for_primary;
+  struct admission for_any;
   UT_hash_handle hh;
 };
 
--- a/src/proxy/guests.c
+++ b/src/proxy/guests.c
@@ -15,7 +15,7 @@
   struct guests *guests;
   uint64_t number; /* chosen by the sender */
   bool in_transaction;
-  uint64_t call;        /* to be answered; 0 between statements */
+  uint64_t call; /* to be answered; 0 between statements */
   struct caller *caller;
   struct ktimer end;
   struct guest *prev;
@@ -36,8 +36,8 @@
 static void
 reply (struct guest *guest, const peer_forwarded *forwarded)
 {
-  peer_body body = { .kind = PEER_KIND_FORWARDED,
-                     .peer_body_u.forwarded = *forwarded };
+  peer_body body
+      = { .kind = PEER_KIND_FORWARDED, .peer_body_u.forwarded = *forwarded };
   uint64_t call = guest->call;
   guest->call = 0;
   hosts_reply (guest->guests->hosts, call, &body);
@@ -49,11 +49,12 @@
   const struct caller *caller = guest->caller;
   peer_forwarded forwarded = {
     .code = (u_int)answer->code,
+    .overloaded = caller->overloaded,
     .reason = (char *)(answer->text != NULL ? answer->text : ""),
     /* With its NUL.  */
-    .answer = { .answer_len
-                = answer->body != NULL ? (u_int)answer->body_bytes + 1 : 0,
-                .answer_val = (char *)answer->body },
+    .answer
+    = { .answer_len = answer->body != NULL ? (u_int)answer->body_bytes + 1 : 0,
+        .answer_val = (char *)answer->body },
     .instance = (char *)caller->served_by,
     .own_term = caller->own.term,
     .own_lsn = caller->own.lsn,
@@ -65,8 +66,9 @@
 guest_free (struct guest *guest)
 {
   struct guests *guests = guest->guests;
-  peer_forwarded unknown
-      = { .code = CODE_INDOUBT, .reason = "ended while it ran", .instance = "" };
+  peer_forwarded unknown = { .code = CODE_INDOUBT,
+                             .reason = "ended while it ran",
+                             .instance = "" };
   if (guest->call != 0)
     reply (guest, &unknown);
   kernel_timer_cancel (guests->base.kernel, &guest->end);
@@ -89,8 +91,8 @@
   struct guests *guests = guest->guests;
   struct kernel *kernel = guests->base.kernel;
   clk_ms idle_ms = catalog_config (guests->catalog)->tx_idle_ms;
-  clk_ms span_ms = idle_ms > 0 ? idle_ms + GUESTS_IDLE_MARGIN_MS
-                               : GUESTS_IDLE_DEFAULT_MS;
+  clk_ms span_ms
+      = idle_ms > 0 ? idle_ms + GUESTS_IDLE_MARGIN_MS : GUESTS_IDLE_DEFAULT_MS;
   kernel_timer_set (kernel, &guest->end,
                     kernel_now (kernel) + (at_once ? 0 : span_ms));
 }
@@ -143,6 +145,7 @@
   struct caller_sink sink = { .answer = on_answer, .arg = guest };
   struct route route = { .kind = (enum route_kind)request->route_kind,
                          .timeout_ms = request->timeout_ms,
+                         .target_ms = request->target_ms,
                          .max_staleness_ms = request->max_staleness_ms,
                          .priority = request->priority };
   if (request->route_kind > ROUTE_SESSION
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -567,6 +567,62 @@
   ck_assert_uint_eq (count_guests (), 0);
 }
 
+/* A burst: more come than the slots take.  */
+UNIT_PLAIN (test_statements_that_would_wait_beyond_their_target_are_refused)
+{
+  struct admission queue = { 0 };
+  size_t waiting = 1;
+  ck_assert (admission_enter (&queue, 1000, 500));
+  for (clk_ms now_ms = 1000; now_ms < 3000; now_ms += 20)
+    admission_note_ran (&queue, now_ms);
+  /* 50 run a second: 25 are served within 500 ms.  */
+  while (waiting < 100 && admission_enter (&queue, 3000, 500))
+    waiting++;
+  ck_assert_uint_ge (waiting, 24);
+  ck_assert_uint_le (waiting, 28);
+  ck_assert (admission_enter (&queue, 3000, 1000));
+  admission_leave (&queue);
+  for (size_t i = 0; i < 10; i++)
+    admission_leave (&queue);
+  ck_assert (admission_enter (&queue, 3000, 500));
+}
+
+UNIT_PLAIN (test_a_few_statements_wait_where_nothing_ran_yet)
+{
+  struct admission queue = { 0 };
+  for (size_t i = 0; i < ADMISSION_WAITING_FIRST; i++)
+    ck_assert (admission_enter (&queue, 1000, 500));
+  ck_assert (!admission_enter (&queue, 1000, 500));
+}
+
+UNIT_TEST (test_a_burst_on_the_primary_is_refused_at_once_or_served_in_time)
+{
+  struct fleet_caller *callers[200];
+  size_t served = 0, refused = 0, late = 0;
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *warm = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  for (int i = 0; i < 100; i++)
+    ck_assert_int_eq (run (warm, STMT_READ, "a", NULL), CODE_OK);
+  fleet_instance (fleet, 0)->busy_percent = 90;
+  for (int i = 0; i < 200; i++)
+    {
+      callers[i] = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      fleet_caller_send (callers[i], STMT_READ, "a", NULL);
+    }
+  fleet_run (fleet, 1100);
+  for (int i = 0; i < 200; i++)
+    {
+      ck_assert (!fleet_caller_waits (callers[i]));
+      served += fleet_caller_code (callers[i]) == CODE_OK;
+      refused += fleet_caller_code (callers[i]) == CODE_BUSY;
+      late += fleet_caller_took_ms (callers[i]) >= 900;
+    }
+  /* The rate of a primary that refuses most is not known at first.  */
+  ck_assert_uint_le (late, ADMISSION_WAITING_FIRST);
+  ck_assert_uint_gt (refused, 100);
+  ck_assert_uint_gt (served, 0);
+}
+
 UNIT_PLAIN (test_hosts_take_as_many_groups_as_the_connections_allow)
 {
   ck_assert_uint_eq (placement_width (72, 17, 3), 3);
