Show status, topology and routing of a host on the platform; latency histograms

Histograms by kind of route and outcome: answer time, wait until a statement is sent, age of the newest position at a read; statements given up, by reason; statements forwarded by other hosts are counted apart. HdrHistogram's C port is in no package of the platform's Debian, and gsl_histogram has fixed ranges: twelve bounds from 1 ms to 5 s of our own.

Counting by code no longer builds a name for each statement.

--- a/src/cli/cmd_explain.c
+++ b/src/cli/cmd_explain.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "cli/command.h"
 #include "kernel/mem.h"
@@ -38,7 +39,7 @@
       input->service = arg;
       return 0;
     case ARGP_KEY_END:
-      if (input->service == NULL)
+      if (input->service == NULL && input->database == NULL)
         argp_usage (state);
       return 0;
     default:
@@ -46,14 +47,15 @@
     }
 }
 
-/* Appends "&NAME=VALUE" to PATH, which is replaced.  */
+/* Appends NAME=VALUE to the query of PATH, which is replaced.  */
 static char *
 add_query (char *path, const char *name, const char *value)
 {
   if (value == NULL)
     return path;
   char *encoded = command_encode (value);
-  char *longer = mem_printf ("%s&%s=%s", path, name, encoded);
+  char joint = strchr (path, '?') == NULL ? '?' : '&';
+  char *longer = mem_printf ("%s%c%s=%s", path, joint, name, encoded);
   free (encoded);
   free (path);
   return longer;
@@ -62,9 +64,8 @@
 static char *
 build_path (const struct input *input)
 {
-  char *service = command_encode (input->service);
-  char *path = mem_printf ("/v1/explain?service=%s", service);
-  free (service);
+  char *path = mem_strdup ("/v1/explain");
+  path = add_query (path, "service", input->service);
   path = add_query (path, "database", input->database);
   path = add_query (path, "kind", input->kind);
   return add_query (path, "session", input->session);
@@ -83,9 +84,10 @@
       = { { settings_argp (SETTINGS_OPERATOR), 0, "Settings:", 0 }, { 0 } };
   struct argp argp = { .options = options,
                        .parser = keep_option,
-                       .args_doc = "TEAM/SERVICE",
+                       .args_doc = "[TEAM/SERVICE]",
                        .doc = "Show why a request would be routed where; "
-                              "nothing runs.",
+                              "nothing runs.\vOn the users' platform a "
+                              "database is enough.",
                        .children = children };
   struct input input = { 0 };
   struct settings settings;
--- /dev/null
+++ b/src/cli/proxy_report.c
@@ -0,0 +1,239 @@
+#include "cli/proxy_report.h"
+
+#include <string.h>
+
+#include "proxy/catalog.h"
+#include "proxy/group.h"
+#include "proxy/guests.h"
+#include "proxy/hosts.h"
+#include "proxy/mirror.h"
+#include "proxy/placement.h"
+#include "proxy/roster.h"
+
+static json_t *
+age_or_null (struct kernel *kernel, clk_ms since_ms)
+{
+  if (since_ms == CLK_NEVER || since_ms <= CLK_LONG_AGO)
+    return json_null ();
+  return json_integer (kernel_now (kernel) - since_ms);
+}
+
+void
+proxy_report_status (struct kernel *kernel, json_t *status)
+{
+  struct catalog *catalog = (struct catalog *)kernel_find (kernel, "catalog");
+  struct groups *groups = (struct groups *)kernel_find (kernel, "groups");
+  struct guests *guests = (struct guests *)kernel_find (kernel, "guests");
+  struct hosts *hosts = (struct hosts *)kernel_find (kernel, "hosts");
+  struct mirror *mirror = (struct mirror *)kernel_find (kernel, "mirror");
+  struct roster *roster = (struct roster *)kernel_find (kernel, "roster");
+  const struct catalog_config *config = catalog_config (catalog);
+  uint64_t token = 0;
+  size_t others;
+  hosts_list (hosts, &others);
+  bool holds = roster_holds (roster, &token);
+  json_t *known = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I}", "config_version",
+      (json_int_t)config->version, "databases",
+      (json_int_t)config->route_count, "groups",
+      (json_int_t)config->group_count, "hosts", (json_int_t)others + 1,
+      "forwarded_here", (json_int_t)guests_count (guests), "store_reached",
+      (int)mirror_reached (mirror), "cut_off", (int)groups_cut_off (groups),
+      "holds_duty", (int)holds, "token", (json_int_t)token);
+  json_object_update_new (status, known);
+}
+
+static json_t *
+report_host (const char *name, const char *domain, const char *address,
+             uint16_t port)
+{
+  return json_pack ("{s:s, s:s, s:s, s:i}", "name", name, "domain", domain,
+                    "address", address, "port", (int)port);
+}
+
+static json_t *
+report_hosts (struct hosts *hosts)
+{
+  json_t *list = json_array ();
+  size_t count;
+  const struct other_host *others = hosts_list (hosts, &count);
+  json_array_append_new (list, report_host (hosts_own_name (hosts),
+                                            hosts_own_zone (hosts), "-", 0));
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (
+        list, report_host (others[i].address.name, others[i].zone,
+                           others[i].address.address, others[i].address.port));
+  return list;
+}
+
+/* What the report of a group is made of.  */
+struct group_report
+{
+  struct kernel *kernel;
+  json_t *list;
+};
+
+static json_t *
+report_gateways (struct kernel *kernel, const char *group)
+{
+  struct placement *placement
+      = (struct placement *)kernel_find (kernel, "placement");
+  struct hosts *hosts = (struct hosts *)kernel_find (kernel, "hosts");
+  const struct placed_group *placed = placement_find (placement, group);
+  json_t *names = json_array ();
+  if (placed->served_here)
+    json_array_append_new (names, json_string (hosts_own_name (hosts)));
+  for (size_t i = 0; i < placed->count; i++)
+    json_array_append_new (names,
+                           json_string (placed->hosts[i]->address.name));
+  return names;
+}
+
+static json_t *
+report_instance (struct kernel *kernel, const struct backend *backend)
+{
+  const struct instance_entry *entry = backend_entry (backend);
+  return json_pack ("{s:s, s:s, s:s, s:i, s:b, s:b, s:i, s:o}", "name",
+                    entry->id, "domain", entry->zone, "address",
+                    entry->address, "port", (int)entry->port, "leaving",
+                    (int)entry->draining, "reachable",
+                    (int)backend_usable (backend), "connections",
+                    (int)backend_open_connections (backend), "heard_ms_ago",
+                    age_or_null (kernel, backend_heard_ms (backend)));
+}
+
+static void
+add_group (void *arg, struct group *group)
+{
+  struct group_report *report = arg;
+  struct backend *backends[GROUP_INSTANCES];
+  size_t count = group_instances (group, backends);
+  const struct backend *leader = group_leader (group);
+  struct position newest = samples_newest (group_samples (group));
+  json_t *gateways = report_gateways (report->kernel, group_name (group));
+  json_t *instances = json_array ();
+  for (size_t i = 0; i < count; i++)
+    {
+      json_t *instance = report_instance (report->kernel, backends[i]);
+      json_object_set (instance, "gateways", gateways);
+      json_array_append_new (instances, instance);
+    }
+  json_decref (gateways);
+  json_array_append_new (
+      report->list,
+      json_pack ("{s:s, s:s, s:I, s:s, s:o, s:o}", "name", group_name (group),
+                 "primary", leader != NULL ? backend_entry (leader)->id : "",
+                 "term", (json_int_t)newest.term, "state",
+                 group_connected (group) ? "connected" : "forwarded",
+                 "sample_age_ms",
+                 age_or_null (report->kernel,
+                              samples_newest_ms (group_samples (group))),
+                 "instances", instances));
+}
+
+json_t *
+proxy_report_topology (struct kernel *kernel)
+{
+  struct groups *groups = (struct groups *)kernel_find (kernel, "groups");
+  struct hosts *hosts = (struct hosts *)kernel_find (kernel, "hosts");
+  struct group_report report = { kernel, json_array () };
+  groups_each (groups, add_group, &report);
+  return json_pack ("{s:o, s:o}", "hosts", report_hosts (hosts), "databases",
+                    report.list);
+}
+
+static json_t *
+report_choices (const struct group *group, struct position floor)
+{
+  struct group_choice choices[GROUP_INSTANCES];
+  size_t count = group_choices (group, floor, choices);
+  json_t *list = json_array ();
+  for (size_t i = 0; i < count; i++)
+    json_array_append_new (
+        list, json_pack ("{s:s, s:f, s:s}", "instance",
+                         backend_entry (choices[i].backend)->id, "cost_ms",
+                         choices[i].cost_ms, "state",
+                         choices[i].why_not != NULL ? choices[i].why_not
+                                                    : "usable"));
+  return list;
+}
+
+/* What decides where a read runs.  */
+static void
+explain_read (json_t *answer, struct kernel *kernel, const struct route *route,
+              const struct group *group)
+{
+  struct position floor;
+  clk_ms not_before_ms = kernel_now (kernel) - route->max_staleness_ms;
+  if (!samples_floor (group_samples (group), not_before_ms, &floor))
+    {
+      json_object_set_new (answer, "why",
+                           json_string ("no recent position: the primary is "
+                                        "asked first"));
+      return;
+    }
+  json_object_set_new (answer, "why",
+                       json_string ("the usable instance of the least cost, "
+                                    "at this position or later"));
+  json_object_set_new (answer, "position",
+                       json_sprintf ("%llu.%llu",
+                                     (unsigned long long)floor.term,
+                                     (unsigned long long)floor.lsn));
+  json_object_set_new (answer, "choices", report_choices (group, floor));
+}
+
+/* Where a statement of ROUTE runs, and why.  */
+static void
+explain_route (json_t *answer, struct kernel *kernel,
+               const struct route *route)
+{
+  struct groups *groups = (struct groups *)kernel_find (kernel, "groups");
+  struct group *group = groups_find (groups, route->group);
+  struct backend *leader = group != NULL ? group_leader (group) : NULL;
+  const char *why = NULL;
+  if (group == NULL)
+    why = "no instance of the group is known: refused";
+  else if (!groups_serves (groups, route->group))
+    {
+      why = "this host has no connections to the group: forwarded to one of "
+            "these hosts";
+      json_object_set_new (answer, "hosts",
+                           report_gateways (kernel, route->group));
+    }
+  else if (route->kind != ROUTE_PRIMARY)
+    {
+      explain_read (answer, kernel, route, group);
+      return;
+    }
+  else if (leader == NULL)
+    why = "no primary is known: held for a short time, then refused";
+  else if (!backend_usable (leader))
+    why = "the primary can't be reached: forwarded to a host that can, else "
+          "held for a short time, then refused";
+  else
+    why = "reads and writes go to the primary";
+  json_object_set_new (answer, "why", json_string (why));
+}
+
+json_t *
+proxy_report_explain (struct kernel *kernel, const char *database)
+{
+  static const char *const kinds[] = { [ROUTE_PRIMARY] = "primary",
+                                       [ROUTE_BOUNDED] = "bounded staleness",
+                                       [ROUTE_SESSION] = "session" };
+  struct catalog *catalog = (struct catalog *)kernel_find (kernel, "catalog");
+  struct groups *groups = (struct groups *)kernel_find (kernel, "groups");
+  const struct route *route = catalog_route (catalog, database);
+  if (route == NULL)
+    return NULL;
+  struct group *group = groups_find (groups, route->group);
+  struct backend *leader = group != NULL ? group_leader (group) : NULL;
+  json_t *answer = json_pack (
+      "{s:s, s:s, s:s, s:I, s:I, s:i, s:s}", "database", database, "group",
+      route->group, "kind", kinds[route->kind], "max_staleness_ms",
+      (json_int_t)route->max_staleness_ms, "timeout_ms",
+      (json_int_t)route->timeout_ms, "priority", (int)route->priority,
+      "primary", leader != NULL ? backend_entry (leader)->id : "");
+  explain_route (answer, kernel, route);
+  return answer;
+}
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -1,6 +1,5 @@
 #include "proxy/caller.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -57,10 +56,9 @@
   struct answer out = *answer;
   out.state = caller->tx;
   log_answer (caller, answer);
-  char name[64];
-  snprintf (name, sizeof name, "statements_total{code=\"%s\"}",
-            code_name (answer->code));
-  metrics_count (kernel_metrics (kernel), name);
+  caller_metrics_answer (caller_metrics_of (caller), caller->run.route.kind,
+                         answer->code,
+                         kernel_now (kernel) - caller->run.arrived_ms);
   kernel_timer_cancel (kernel, &caller->deadline);
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->slow);
@@ -363,6 +361,10 @@
 callers_start (struct module *module)
 {
   struct callers *callers = (struct callers *)module;
+  caller_metrics_init (&callers->metrics, kernel_metrics (module->kernel),
+                       false);
+  caller_metrics_init (&callers->guest_metrics,
+                       kernel_metrics (module->kernel), true);
   callers->catalog = (struct catalog *)kernel_find (module->kernel, "catalog");
   callers->groups = (struct groups *)kernel_find (module->kernel, "groups");
   callers->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -4,6 +4,7 @@
 #define SAVORYWAY_PROXY_CALLER_IMPL_H
 
 #include "proxy/caller.h"
+#include "proxy/caller_metrics.h"
 #include "proxy/forwarder.h"
 
 enum run_stage
@@ -102,6 +103,8 @@
   struct groups *groups;
   struct hosts *hosts;
   struct forwarder *forwarder;
+  struct caller_metrics metrics;
+  struct caller_metrics guest_metrics;
   struct caller *list;
 };
 
@@ -148,6 +151,13 @@
 void caller_finish_code (struct caller *caller, enum code code,
                          const char *text);
 
+static inline struct caller_metrics *
+caller_metrics_of (const struct caller *caller)
+{
+  return caller->guest ? &caller->callers->guest_metrics
+                       : &caller->callers->metrics;
+}
+
 static inline clk_ms
 caller_now (const struct caller *caller)
 {
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -86,6 +86,7 @@
 caller_fail (struct caller *caller, enum code code, const char *why)
 {
   bool commit = caller->run.kind == STMT_COMMIT;
+  caller_metrics_refused (caller_metrics_of (caller), why);
   backend_cancel (&caller->user);
   /* The transaction is ended on its instance first.  */
   caller_remote_stop (caller);
@@ -373,6 +374,19 @@
     dispatch_read (caller);
 }
 
+static void
+note_sent (struct caller *caller)
+{
+  const struct run_request *run = &caller->run;
+  struct caller_metrics *metrics = caller_metrics_of (caller);
+  const struct group *group = group_of (caller);
+  histogram_note (metrics->wait_ms[run->route.kind],
+                  run->sent_ms - run->arrived_ms);
+  if (run->has_floor && group != NULL)
+    histogram_note (metrics->sample_age_ms,
+                    run->sent_ms - samples_newest_ms (group_samples (group)));
+}
+
 static void
 send_main (struct caller *caller)
 {
@@ -391,6 +405,7 @@
   bool use_floor = run->has_floor && !in_transaction (caller);
   run->stage = RUN_SENT;
   run->sent_ms = caller_now (caller);
+  note_sent (caller);
   if (run->writes && in_transaction (caller))
     caller->tx_wrote = true;
   conn_send (conn, STEP_MAIN, &statement, use_floor ? &run->floor : NULL);
@@ -528,12 +543,12 @@
   if (run->kind == STMT_COMMIT && !code_not_run (code))
     {
       caller_fail_unknown (caller, code == CODE_TIMEOUT ? code : CODE_INDOUBT,
-                           answer->text);
+                           "the instance can't tell");
       return;
     }
   if (code == CODE_NOSTMT)
     code = CODE_ABORTED;
-  caller_fail (caller, code, answer->text);
+  caller_fail (caller, code, "refused by the instance");
 }
 
 static void
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -144,6 +144,19 @@
 /* Notes that BACKEND's log lacked a position.  */
 void group_behind (struct group *group, struct backend *backend);
 
+/* An instance as a choice for a read.  */
+struct group_choice
+{
+  struct backend *backend;
+  double cost_ms;      /* expected time, with what it costs others */
+  const char *why_not; /* it can't serve the read; NULL if it can */
+};
+
+/* Lists the instances as choices for a read that must see FLOOR; returns
+   their number.  */
+size_t group_choices (const struct group *group, struct position floor,
+                      struct group_choice out[GROUP_INSTANCES]);
+
 /* Chooses the instance for a read that must see FLOOR, but none of TRIED;
    NULL if there is none.  */
 struct backend *group_pick (struct group *group, struct position floor,
--- a/src/proxy/group_read.c
+++ b/src/proxy/group_read.c
@@ -45,29 +45,58 @@
          && position_compare (backend_position (instance->backend), floor) < 0;
 }
 
+/* Why INSTANCE serves no read that must see FLOOR; NULL if it can.  */
+static const char *
+why_not (const struct group *group, const struct member_instance *instance,
+         struct position floor)
+{
+  const struct backend *backend = instance->backend;
+  if (!backend_usable (backend))
+    return "unreachable";
+  if (lacks (group, instance, floor))
+    return "behind";
+  if (backend_entry (backend)->draining && backend != group->leader)
+    return "leaving";
+  return NULL;
+}
+
+size_t
+group_choices (const struct group *group, struct position floor,
+               struct group_choice out[GROUP_INSTANCES])
+{
+  for (size_t i = 0; i < group->count; i++)
+    {
+      const struct member_instance *instance = group->instances[i];
+      out[i] = (struct group_choice){
+        .backend = instance->backend,
+        .cost_ms = read_cost (group, instance, floor),
+        .why_not = why_not (group, instance, floor),
+      };
+    }
+  return group->count;
+}
+
 struct backend *
 group_pick (struct group *group, struct position floor,
             const char tried[][NAME_BYTES], size_t tried_count)
 {
   struct rng *rng = kernel_rng (group->groups->base.kernel);
+  struct group_choice choices[GROUP_INSTANCES];
+  size_t count = group_choices (group, floor, choices);
   struct backend *best = NULL;
   double best_cost = 0;
   group->used_ms = group_now (group);
-  for (size_t i = 0; i < group->count; i++)
+  for (size_t i = 0; i < count; i++)
     {
-      struct member_instance *instance = group->instances[i];
-      struct backend *backend = instance->backend;
-      if (!backend_usable (backend) || was_tried (backend, tried, tried_count)
-          || lacks (group, instance, floor))
-        continue;
-      if (backend_entry (backend)->draining && backend != group->leader)
+      const struct group_choice *choice = &choices[i];
+      if (choice->why_not != NULL
+          || was_tried (choice->backend, tried, tried_count))
         continue;
       /* Hosts that know the same must not all choose the same.  */
-      double cost
-          = read_cost (group, instance, floor) * (0.9 + 0.2 * rng_unit (rng));
+      double cost = choice->cost_ms * (0.9 + 0.2 * rng_unit (rng));
       if (best == NULL || cost < best_cost)
         {
-          best = backend;
+          best = choice->backend;
           best_cost = cost;
         }
     }
--- a/tests/unit/test_kernel.c
+++ b/tests/unit/test_kernel.c
@@ -111,4 +111,25 @@
   metrics_free (metrics);
 }
 
+UNIT_PLAIN (test_a_histogram_counts_durations_below_each_bound)
+{
+  struct metrics *metrics = metrics_new ();
+  struct histogram *histogram = metrics_histogram (metrics, "x_ms", "a=\"b\"");
+  ck_assert_ptr_eq (histogram, metrics_histogram (metrics, "x_ms", "a=\"b\""));
+  for (clk_ms span_ms = 1; span_ms <= 100; span_ms++)
+    histogram_note (histogram, span_ms);
+  histogram_note (histogram, 60000);
+  ck_assert_int_eq (histogram_quantile (histogram, 0.5), 100);
+  ck_assert_int_eq (histogram_quantile (histogram, 0.1), 20);
+  ck_assert_int_eq (histogram_quantile (histogram, 1.0), CLK_NEVER);
+  char *text = metrics_print (metrics);
+  ck_assert_ptr_nonnull (
+      strstr (text, "savoryway_x_ms_bucket{a=\"b\",le=\"50\"} 50\n"));
+  ck_assert_ptr_nonnull (
+      strstr (text, "savoryway_x_ms_bucket{a=\"b\",le=\"+Inf\"} 101\n"));
+  ck_assert_ptr_nonnull (strstr (text, "savoryway_x_ms_count{a=\"b\"} 101\n"));
+  free (text);
+  metrics_free (metrics);
+}
+
 UNIT_MAIN ("kernel")
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -210,6 +210,25 @@
   close (fd);
 }
 
+UNIT_TEST (test_operators_are_told_the_state_of_a_host)
+{
+  const char *status = get (metrics, "/v1/status");
+  ck_assert_ptr_nonnull (strstr (status, "\"host\":\"h1\""));
+  ck_assert_ptr_nonnull (strstr (status, "\"ready\":true"));
+  ck_assert_ptr_nonnull (strstr (status, "\"store_reached\":true"));
+  const char *topology = get (metrics, "/v1/topology");
+  ck_assert_ptr_nonnull (strstr (topology, "\"name\":\"i-0\""));
+  ck_assert_ptr_nonnull (strstr (topology, "\"gateways\":[\"h1\"]"));
+  const char *why = get (metrics, "/v1/explain?database=ledger");
+  ck_assert_ptr_nonnull (strstr (why, "\"primary\":\"i-0\""));
+  ck_assert_ptr_nonnull (strstr (why, "\"why\":\""));
+  ck_assert_ptr_nonnull (
+      strstr (get (metrics, "/v1/explain?database=none"), " 404 "));
+  ck_assert_ptr_nonnull (strstr (get (metrics, "/v1/explain"), " 400 "));
+  ck_assert_ptr_nonnull (
+      strstr (get (metrics, "/metrics"), "savoryway_statement_ms_bucket{"));
+}
+
 UNIT_TEST (test_a_transaction_is_answered_step_by_step)
 {
   int fd = start_session ();
