In a large failure domain follow the store through relays

When the duty falls vacant, most hosts asked for it within 200 ms.

Change: in a failure domain of twelve hosts or more the two with the widest links (--link-mbps) keep what the store holds, and the others ask them for what is newer, in questions held for 600 ms. A relay that does not answer, or that the store refuses, is passed over; then the store itself is asked. A relay renews its lease every 500 ms, so that it notices soon. The spread of claims grows with the hosts.

Small sites have no relays.

What is left: renewals, first listings, one watch a relay.

--- a/src/cli/settings.c
+++ b/src/cli/settings.c
@@ -140,6 +140,20 @@
     *(int64_t *)field_of (reading) = value;
 }
 
+/* A number with or without digits after a point; those are cut off.  */
+static void
+read_decimal (const struct reading *reading)
+{
+  size_t whole = strcspn (reading->text, ".");
+  const char *fraction = reading->text + whole + (reading->text[whole] == '.');
+  char *text = mem_printf ("%.*s", (int)whole, reading->text);
+  struct reading cut = *reading;
+  if (strspn (fraction, "0123456789") == strlen (fraction))
+    cut.text = text;
+  read_number (&cut);
+  free (text);
+}
+
 static void
 read_choice (const struct reading *reading)
 {
@@ -244,6 +258,9 @@
     case SETTING_NUMBER:
       read_number (reading);
       break;
+    case SETTING_DECIMAL:
+      read_decimal (reading);
+      break;
     case SETTING_CHOICE:
       read_choice (reading);
       break;
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -29,9 +29,10 @@
   SETTING_ENDPOINT, /* IP number and port, ADDRESS:PORT */
   SETTING_HASH,     /* secret_hash of the configuration */
   SETTING_NUMBER,
-  SETTING_CHOICE, /* one of some words */
-  SETTING_SEEDS,  /* NAME=ADDRESS:PORT,... */
-  SETTING_KEY     /* 64 hexadecimal digits; has no flag */
+  SETTING_DECIMAL, /* likewise; a fraction is cut off */
+  SETTING_CHOICE,  /* one of some words */
+  SETTING_SEEDS,   /* NAME=ADDRESS:PORT,... */
+  SETTING_KEY      /* 64 hexadecimal digits; has no flag */
 };
 
 /* Which commands take a setting.  */
@@ -104,6 +105,7 @@
   char *store_endpoint;
   char *promote_endpoint;
   int64_t shutdown_limit_s;
+  int64_t link_mbps;
 };
 
 /* Splits TEXT, an ADDRESS:PORT; returns false if it is none.  */
--- a/src/cli/settings_argp.c
+++ b/src/cli/settings_argp.c
@@ -30,6 +30,7 @@
     case SETTING_ENDPOINT:
       return "ADDRESS:PORT";
     case SETTING_NUMBER:
+    case SETTING_DECIMAL:
       return "N";
     case SETTING_CHOICE:
       return "WORD";
--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -236,6 +236,35 @@
 };
 typedef struct peer_forwarded peer_forwarded;
 
+struct peer_follow {
+	u_quad_t revision;
+	quad_t wait_ms;
+};
+typedef struct peer_follow peer_follow;
+
+struct peer_item {
+	peer_name key;
+	u_quad_t revision;
+	u_quad_t created;
+	bool_t removed;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct peer_item peer_item;
+
+struct peer_followed {
+	u_quad_t revision;
+	bool_t all;
+	bool_t reached;
+	struct {
+		u_int items_len;
+		peer_item *items_val;
+	} items;
+};
+typedef struct peer_followed peer_followed;
+
 enum peer_kind {
 	PEER_KIND_NONE = 0,
 	PEER_KIND_EXECUTE = 1,
@@ -248,6 +277,8 @@
 	PEER_KIND_CENSUS = 8,
 	PEER_KIND_FORWARD = 9,
 	PEER_KIND_FORWARDED = 10,
+	PEER_KIND_FOLLOW = 11,
+	PEER_KIND_FOLLOWED = 12,
 };
 typedef enum peer_kind peer_kind;
 
@@ -263,6 +294,8 @@
 		peer_census census;
 		peer_forward forward;
 		peer_forwarded forwarded;
+		peer_follow follow;
+		peer_followed followed;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -310,6 +343,9 @@
 extern  bool_t xdr_peer_value (XDR *, peer_value*);
 extern  bool_t xdr_peer_forward (XDR *, peer_forward*);
 extern  bool_t xdr_peer_forwarded (XDR *, peer_forwarded*);
+extern  bool_t xdr_peer_follow (XDR *, peer_follow*);
+extern  bool_t xdr_peer_item (XDR *, peer_item*);
+extern  bool_t xdr_peer_followed (XDR *, peer_followed*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
@@ -333,6 +369,9 @@
 extern bool_t xdr_peer_value ();
 extern bool_t xdr_peer_forward ();
 extern bool_t xdr_peer_forwarded ();
+extern bool_t xdr_peer_follow ();
+extern bool_t xdr_peer_item ();
+extern bool_t xdr_peer_followed ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_message ();
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -192,6 +192,30 @@
   unsigned hyper own_lsn;
 };
 
+/* Asks a relay for what the store has that is newer than a revision; held
+   up to wait_ms while there is nothing.  */
+struct peer_follow {
+  unsigned hyper revision;
+  hyper wait_ms;
+};
+
+struct peer_item {
+  peer_name key;
+  unsigned hyper revision;
+  unsigned hyper created;
+  bool removed;
+  opaque value<PEER_TEXT_LIMIT>;
+};
+
+/* All of it up to a revision; with all set, keys that are not listed are
+   gone.  */
+struct peer_followed {
+  unsigned hyper revision;
+  bool all;
+  bool reached; /* the relay reaches the store */
+  peer_item items<PEER_BATCH_LIMIT>;
+};
+
 enum peer_kind {
   PEER_KIND_NONE = 0,
   PEER_KIND_EXECUTE = 1,
@@ -203,7 +227,9 @@
   PEER_KIND_REFUSED = 7, /* answer: the sender is not a known member */
   PEER_KIND_CENSUS = 8,
   PEER_KIND_FORWARD = 9,
-  PEER_KIND_FORWARDED = 10
+  PEER_KIND_FORWARDED = 10,
+  PEER_KIND_FOLLOW = 11,
+  PEER_KIND_FOLLOWED = 12
 };
 
 union peer_body switch (peer_kind kind) {
@@ -225,6 +251,10 @@
   peer_forward forward;
 case PEER_KIND_FORWARDED:
   peer_forwarded forwarded;
+case PEER_KIND_FOLLOW:
+  peer_follow follow;
+case PEER_KIND_FOLLOWED:
+  peer_followed followed;
 case PEER_KIND_REFUSED:
   void;
 case PEER_KIND_NONE:
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -493,6 +493,53 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_follow (XDR *xdrs, peer_follow *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_item (XDR *xdrs, peer_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->created))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, PEER_TEXT_LIMIT))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_followed (XDR *xdrs, peer_followed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reached))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, PEER_BATCH_LIMIT,
+		sizeof (peer_item), (xdrproc_t) xdr_peer_item))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -547,6 +594,14 @@
 		 if (!xdr_peer_forwarded (xdrs, &objp->peer_body_u.forwarded))
 			 return FALSE;
 		break;
+	case PEER_KIND_FOLLOW:
+		 if (!xdr_peer_follow (xdrs, &objp->peer_body_u.follow))
+			 return FALSE;
+		break;
+	case PEER_KIND_FOLLOWED:
+		 if (!xdr_peer_followed (xdrs, &objp->peer_body_u.followed))
+			 return FALSE;
+		break;
 	case PEER_KIND_REFUSED:
 		break;
 	case PEER_KIND_NONE:
--- a/src/proxy/forwarder.c
+++ b/src/proxy/forwarder.c
@@ -93,7 +93,8 @@
 void
 forwarder_heard (struct forwarder *forwarder, const char *host)
 {
-  ensure_load (forwarder, host)->heard_ms = kernel_now (forwarder->base.kernel);
+  ensure_load (forwarder, host)->heard_ms
+      = kernel_now (forwarder->base.kernel);
 }
 
 clk_ms
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -34,9 +34,8 @@
 
 /* Returns a host with connections to the group, or NULL.  Valid until the
    hosts or the configuration change.  */
-const struct other_host *
-forwarder_pick (struct forwarder *forwarder,
-                const struct forwarder_query *query);
+const struct other_host *forwarder_pick (struct forwarder *forwarder,
+                                         const struct forwarder_query *query);
 
 /* Notes a statement sent to HOST and its end; FAILED: the host did not
    answer it.  */
--- a/src/proxy/guests.h
+++ b/src/proxy/guests.h
@@ -3,8 +3,8 @@
 
    A statement outside of a transaction stays until it is answered, or its
    sender gives it up.  A transaction stays from its first statement to its
-   last, under the number that the sender chose; one whose sender falls silent is ended once it has been idle
-   for longer than the sender would leave it so.
+   last, under the number that the sender chose; one whose sender falls silent
+   is ended once it has been idle for longer than the sender would leave it so.
 
    Module name: "guests".  */
 
--- a/src/proxy/hosts.h
+++ b/src/proxy/hosts.h
@@ -16,6 +16,7 @@
 {
   struct peer_address address;
   char zone[NAME_BYTES];
+  uint32_t capacity; /* of its link; 0: not told */
 };
 
 struct hosts_options
--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -115,6 +115,12 @@
   return lease;
 }
 
+void
+lease_set_renew (struct lease *lease, clk_ms renew_ms)
+{
+  lease->renew_ms = renew_ms;
+}
+
 void
 lease_begin (struct lease *lease)
 {
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -26,6 +26,9 @@
 /* Ends it at the store, with the keys under it.  */
 void lease_end (struct lease *lease);
 
+/* Sets the time between renewals.  */
+void lease_set_renew (struct lease *lease, clk_ms renew_ms);
+
 /* Tries again at once, if the store did not answer.  */
 void lease_wake (struct lease *lease);
 
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -4,11 +4,16 @@
 #include <string.h>
 
 #include "kernel/mem.h"
+#include "kernel/text.h"
+#include "proxy/relay.h"
 
 struct mirror
 {
   struct module base;
   struct platform_port *port;
+  struct hosts *hosts;
+  struct relay *relay;
+  char source[NAME_BYTES]; /* the relay that is asked; empty: the store */
   size_t subscriber_count;
   struct mirror_events subscribers[MIRROR_SUBSCRIBERS];
   bool prompt;
@@ -104,6 +109,14 @@
                                        mirror->revision);
 }
 
+static void
+tell_taken (struct mirror *mirror)
+{
+  for (size_t i = 0; i < mirror->subscriber_count; i++)
+    if (mirror->subscribers[i].taken != NULL)
+      mirror->subscribers[i].taken (mirror->subscribers[i].arg);
+}
+
 static void
 take_page (struct mirror *mirror, const struct platform_reply *reply)
 {
@@ -125,6 +138,13 @@
   end_list (mirror);
 }
 
+static clk_ms
+settle_ms (const struct mirror *mirror)
+{
+  return relay_serves (mirror->relay) ? MIRROR_RELAY_SETTLE_MS
+                                      : MIRROR_SETTLE_MS;
+}
+
 static void
 on_reply (void *arg, const struct platform_reply *reply)
 {
@@ -161,13 +181,79 @@
       if (reply->index > mirror->revision)
         mirror->revision = reply->index;
     }
+  if (!mirror->listing)
+    tell_taken (mirror);
   if (news && !mirror->prompt)
     kernel_timer_set (mirror->base.kernel, &mirror->retry,
-                      kernel_now (mirror->base.kernel) + MIRROR_SETTLE_MS);
+                      kernel_now (mirror->base.kernel) + settle_ms (mirror));
   else
     next_call (mirror);
 }
 
+static void
+take_followed (struct mirror *mirror, const peer_followed *reply)
+{
+  if (reply->all)
+    begin_list (mirror);
+  for (u_int i = 0; i < reply->items.items_len; i++)
+    {
+      const peer_item *got = &reply->items.items_val[i];
+      struct platform_item item = { .key = got->key,
+                                    .value_bytes = got->value.value_len,
+                                    .index = got->revision,
+                                    .created = got->created,
+                                    .removed = got->removed };
+      /* Values are NUL-terminated here.  */
+      item.value = mem_zalloc (item.value_bytes + 1);
+      memcpy (item.value, got->value.value_val, item.value_bytes);
+      take_item (mirror, &item);
+      free (item.value);
+    }
+  if (reply->revision > mirror->revision)
+    mirror->revision = reply->revision;
+  if (reply->all)
+    end_list (mirror);
+  tell_taken (mirror);
+}
+
+static void
+on_followed (void *arg, enum peer_status status, const peer_message *reply)
+{
+  struct mirror *mirror = arg;
+  bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED;
+  bool reached = answered && reply->body.peer_body_u.followed.reached;
+  mirror->call = 0;
+  if (answered)
+    take_followed (mirror, &reply->body.peer_body_u.followed);
+  if (reached)
+    set_reached (mirror, true);
+  else
+    relay_failed (mirror->relay, mirror->source);
+  mirror->source[0] = '\0';
+  next_call (mirror);
+}
+
+/* Asks the relay that this host follows, if there is one and the store was
+   not found to be away.  */
+static bool
+follow_relay (struct mirror *mirror)
+{
+  const struct other_host *host
+      = mirror->listing || mirror->prompt || mirror->failures > 0
+            ? NULL
+            : relay_source (mirror->relay);
+  peer_body body = { .kind = PEER_KIND_FOLLOW };
+  if (host == NULL)
+    return false;
+  body.peer_body_u.follow = (peer_follow){ .revision = mirror->revision,
+                                           .wait_ms = RELAY_WAIT_MS };
+  text_copy (mirror->source, sizeof mirror->source, host->address.name);
+  mirror->call = hosts_call (mirror->hosts, &host->address, &body,
+                             RELAY_WAIT_MS + MIRROR_FOLLOW_TIMEOUT_MS,
+                             on_followed, mirror);
+  return true;
+}
+
 static void
 next_call (struct mirror *mirror)
 {
@@ -179,6 +265,8 @@
           .wait_index = mirror->revision,
           .wait_ms = mirror->listing ? 0 : MIRROR_WAIT_MS,
           .timeout_ms = MIRROR_TIMEOUT_MS };
+  if (follow_relay (mirror))
+    return;
   /* After a failure a short watch tells soon whether the store is back.  */
   if (!mirror->listing && mirror->failures > 0)
     call.wait_ms = 1;
@@ -192,18 +280,48 @@
   next_call (arg);
 }
 
+/* Gives up the call that is under way.  */
+static void
+drop_call (struct mirror *mirror)
+{
+  if (mirror->call == 0)
+    return;
+  if (mirror->source[0] != '\0')
+    hosts_cancel (mirror->hosts, mirror->call);
+  else
+    mirror->port->ops->cancel (mirror->port, mirror->call);
+  mirror->call = 0;
+  mirror->source[0] = '\0';
+}
+
+void
+mirror_list_again (struct mirror *mirror)
+{
+  drop_call (mirror);
+  start_list (mirror);
+  kernel_timer_set (mirror->base.kernel, &mirror->retry,
+                    kernel_now (mirror->base.kernel));
+}
+
+void
+mirror_watch_again (struct mirror *mirror)
+{
+  if (mirror->call == 0 || mirror->listing || mirror->source[0] != '\0')
+    return;
+  drop_call (mirror);
+  next_call (mirror);
+}
+
 static void
 on_expect (void *arg)
 {
   struct mirror *mirror = arg;
-  if (mirror->revision >= mirror->expected || mirror->call == 0
-      || mirror->listing)
+  if (mirror->revision >= mirror->expected || mirror->call == 0)
     return;
   log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_silent",
              LOG_U ("revision", mirror->revision),
              LOG_U ("expected", mirror->expected));
-  mirror->port->ops->cancel (mirror->port, mirror->call);
-  next_call (mirror);
+  mirror_watch_again (mirror);
 }
 
 void
@@ -221,6 +339,8 @@
 mirror_start (struct module *module)
 {
   struct mirror *mirror = (struct mirror *)module;
+  mirror->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  mirror->relay = (struct relay *)kernel_find (module->kernel, "relay");
   start_list (mirror);
   next_call (mirror);
 }
@@ -229,8 +349,7 @@
 mirror_free (struct module *module)
 {
   struct mirror *mirror = (struct mirror *)module;
-  if (mirror->call != 0)
-    mirror->port->ops->cancel (mirror->port, mirror->call);
+  drop_call (mirror);
   kernel_timer_cancel (module->kernel, &mirror->retry);
   kernel_timer_cancel (module->kernel, &mirror->expect);
   free (mirror->after);
@@ -272,10 +391,21 @@
 {
   struct kernel *kernel = mirror->base.kernel;
   mirror->prompt = prompt;
+  if (prompt && mirror->source[0] != '\0')
+    {
+      drop_call (mirror);
+      next_call (mirror);
+    }
   if (prompt && mirror->failures == 0 && mirror->retry.slot != 0)
     kernel_timer_set (kernel, &mirror->retry, kernel_now (kernel));
 }
 
+uint64_t
+mirror_revision (const struct mirror *mirror)
+{
+  return mirror->revision;
+}
+
 bool
 mirror_complete (const struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -1,9 +1,10 @@
 /* mirror - follows the platform's store.
 
    Reads all keys page by page, then watches for changes with one call at a
-   time.  Where the store has forgotten the history, it reads all again; keys
-   that are missing then count as removed.  While the store does not answer
-   it keeps trying.  Subscribers get the keys below their prefix.
+   time, at the store or at the relay that this host follows.  Where the store
+   has forgotten the history, it reads all again; keys that are missing then
+   count as removed.  While the store does not answer it keeps trying.
+   Subscribers get the keys below their prefix.
 
    Module name: "mirror".  */
 
@@ -24,6 +25,11 @@
    changes that come together cost one call; well under the time in which a
    configuration must be in force.  */
 #define MIRROR_SETTLE_MS 1500
+/* The same for a relay, of which a domain has few: others wait for it.  */
+#define MIRROR_RELAY_SETTLE_MS 400
+
+/* Of a question to a relay, beyond the time that it waits.  */
+#define MIRROR_FOLLOW_TIMEOUT_MS 300
 
 #define MIRROR_EXPECT_MS 2000
 
@@ -37,6 +43,9 @@
   /* Around a full listing.  May be NULL.  */
   void (*begin_list) (void *arg);
   void (*end_list) (void *arg, uint64_t revision);
+  /* After what one answer brought; not between the pages of a listing.  May
+     be NULL.  */
+  void (*taken) (void *arg);
   /* The store answers, or no longer does.  May be NULL.  */
   void (*reach) (void *arg, bool reached);
   void *arg;
@@ -58,6 +67,16 @@
    of it within MIRROR_EXPECT_MS has gone silent, and is begun again.  */
 void mirror_expect (struct mirror *mirror, uint64_t revision);
 
+/* What the store had up to here has been taken in.  */
+uint64_t mirror_revision (const struct mirror *mirror);
+
+/* Begins the watch anew: the store refused other calls meanwhile, and may have
+   lost it.  */
+void mirror_watch_again (struct mirror *mirror);
+
+/* Reads all keys again.  */
+void mirror_list_again (struct mirror *mirror);
+
 /* Whether a full listing has been taken in.  */
 bool mirror_complete (const struct mirror *mirror);
 
--- a/src/proxy/placement.c
+++ b/src/proxy/placement.c
@@ -86,10 +86,9 @@
   free (placed->hosts);
   placed->hosts = mem_zalloc ((count + 1) * sizeof *placed->hosts);
   placed->count = 0;
-  placed->served_here
-      = placement_rank (hosts_own_name (placement->hosts), entry->name, names,
-                        groups)
-        < width;
+  placed->served_here = placement_rank (hosts_own_name (placement->hosts),
+                                        entry->name, names, groups)
+                        < width;
   for (size_t i = 0; i < count; i++)
     if (placement_rank (others[i].address.name, entry->name, names, groups)
         < width)
--- /dev/null
+++ b/src/proxy/relay.c
@@ -0,0 +1,482 @@
+#include "proxy/relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "kernel/mem.h"
+#include "kernel/text.h"
+#include "proxy/mirror.h"
+
+/* A key of the store, or one that was removed.  */
+struct relay_item
+{
+  char *key;
+  char *value;
+  size_t value_bytes;
+  uint64_t revision;
+  uint64_t created;
+  bool removed;
+  bool listed;
+  UT_hash_handle hh;
+};
+
+/* A question that waits for something newer.  */
+struct question
+{
+  struct relay *relay;
+  uint64_t call;
+  uint64_t revision;
+  struct ktimer limit;
+  struct question *prev;
+  struct question *next;
+};
+
+/* A relay that did not answer, or did not reach the store.  */
+struct failed_relay
+{
+  char host[NAME_BYTES];
+  clk_ms until_ms;
+};
+
+struct relay
+{
+  struct module base;
+  struct hosts *hosts;
+  struct mirror *mirror;
+  uint32_t capacity;
+  bool refused;   /* by the store */
+  bool keeps;     /* this host is a relay, and has all from the next listing */
+  bool complete;  /* a listing was kept */
+  uint64_t known; /* removals after this revision are remembered */
+  size_t removed_count;
+  struct relay_item *items;
+  struct question *questions;
+  size_t next_failed;
+  struct failed_relay failed[RELAY_HOSTS];
+};
+
+/* Orders hosts of one failure domain as relays.  */
+static bool
+precedes (uint32_t capacity, const char *name, uint32_t other_capacity,
+          const char *other_name)
+{
+  if (capacity != other_capacity)
+    return capacity > other_capacity;
+  uint64_t own = XXH64 (name, strlen (name), 0);
+  uint64_t other = XXH64 (other_name, strlen (other_name), 0);
+  return own != other ? own > other : strcmp (name, other_name) < 0;
+}
+
+/* Relays of this host's failure domain, the best one first.  */
+struct relays
+{
+  size_t domain_hosts; /* this one included */
+  bool own;            /* this host is one of them */
+  size_t count;        /* of the others */
+  const struct other_host *others[RELAY_HOSTS];
+};
+
+static void
+insert (struct relays *relays, const struct other_host *host)
+{
+  size_t at = relays->count;
+  while (at > 0
+         && precedes (host->capacity, host->address.name,
+                      relays->others[at - 1]->capacity,
+                      relays->others[at - 1]->address.name))
+    at--;
+  if (at == RELAY_HOSTS)
+    return;
+  if (relays->count < RELAY_HOSTS)
+    relays->count++;
+  for (size_t i = relays->count - 1; i > at; i--)
+    relays->others[i] = relays->others[i - 1];
+  relays->others[at] = host;
+}
+
+static void
+find_relays (const struct relay *relay, struct relays *relays)
+{
+  size_t count, before = 0;
+  const struct other_host *others = hosts_list (relay->hosts, &count);
+  *relays = (struct relays){ .domain_hosts = 1 };
+  for (size_t i = 0; i < count; i++)
+    {
+      if (strcmp (others[i].zone, hosts_own_zone (relay->hosts)) != 0)
+        continue;
+      relays->domain_hosts++;
+      insert (relays, &others[i]);
+    }
+  for (size_t i = 0; i < relays->count; i++)
+    before += precedes (relays->others[i]->capacity,
+                        relays->others[i]->address.name, relay->capacity,
+                        hosts_own_name (relay->hosts));
+  relays->own
+      = relays->domain_hosts >= RELAY_DOMAIN_HOSTS && before < RELAY_HOSTS;
+}
+
+static bool
+is_down (const struct relay *relay, const char *name)
+{
+  clk_ms now_ms = kernel_now (relay->base.kernel);
+  for (size_t i = 0; i < RELAY_HOSTS; i++)
+    if (now_ms < relay->failed[i].until_ms
+        && strcmp (relay->failed[i].host, name) == 0)
+      return true;
+  return false;
+}
+
+const struct other_host *
+relay_source (const struct relay *relay)
+{
+  struct relays relays;
+  find_relays (relay, &relays);
+  if (relays.own || relays.domain_hosts < RELAY_DOMAIN_HOSTS
+      || !hosts_ready (relay->hosts))
+    return NULL;
+  for (size_t i = 0; i < relays.count; i++)
+    if (!is_down (relay, relays.others[i]->address.name))
+      return relays.others[i];
+  return NULL;
+}
+
+bool
+relay_serves (const struct relay *relay)
+{
+  return relay->keeps;
+}
+
+void
+relay_failed (struct relay *relay, const char *name)
+{
+  struct kernel *kernel = relay->base.kernel;
+  struct failed_relay *failed = &relay->failed[relay->next_failed];
+  relay->next_failed = (relay->next_failed + 1) % RELAY_HOSTS;
+  text_copy (failed->host, sizeof failed->host, name);
+  failed->until_ms = kernel_now (kernel) + RELAY_DOWN_MS;
+  log_event (kernel_log (kernel), LOG_INFO, "relay_failed",
+             LOG_S ("host", name));
+}
+
+static void
+free_item (struct relay *relay, struct relay_item *item)
+{
+  HASH_DEL (relay->items, item);
+  relay->removed_count -= item->removed;
+  free (item->key);
+  free (item->value);
+  free (item);
+}
+
+static void
+forget_all (struct relay *relay)
+{
+  struct relay_item *item, *next;
+  HASH_ITER (hh, relay->items, item, next) { free_item (relay, item); }
+  relay->complete = false;
+}
+
+/* Forgets all removals that are remembered; hosts that missed one get all.
+   This is rare, as hosts keep up.  */
+static void
+forget_removed (struct relay *relay)
+{
+  struct relay_item *item, *next;
+  HASH_ITER (hh, relay->items, item, next)
+  {
+    if (!item->removed)
+      continue;
+    if (item->revision > relay->known)
+      relay->known = item->revision;
+    free_item (relay, item);
+  }
+}
+
+static struct relay_item *
+ensure_item (struct relay *relay, const char *key)
+{
+  struct relay_item *item;
+  HASH_FIND_STR (relay->items, key, item);
+  if (item != NULL)
+    return item;
+  item = mem_zalloc (sizeof *item);
+  item->key = mem_strdup (key);
+  HASH_ADD_KEYPTR (hh, relay->items, item->key, strlen (key), item);
+  return item;
+}
+
+static void
+remove_item (struct relay *relay, struct relay_item *item, uint64_t revision)
+{
+  free (item->value);
+  item->value = NULL;
+  item->value_bytes = 0;
+  item->revision = revision;
+  relay->removed_count += !item->removed;
+  item->removed = true;
+  if (relay->removed_count > RELAY_REMOVED)
+    forget_removed (relay);
+}
+
+static void
+on_item (void *arg, const struct platform_item *got)
+{
+  struct relay *relay = arg;
+  if (!relay->keeps)
+    return;
+  struct relay_item *item = ensure_item (relay, got->key);
+  item->listed = true;
+  if (got->index < item->revision)
+    return;
+  relay->removed_count -= item->removed;
+  item->removed = false;
+  free (item->value);
+  item->value = mem_zalloc (got->value_bytes + 1);
+  memcpy (item->value, got->value, got->value_bytes);
+  item->value_bytes = got->value_bytes;
+  item->revision = got->index;
+  item->created = got->created;
+}
+
+static void
+on_removed (void *arg, const char *key, uint64_t revision)
+{
+  struct relay *relay = arg;
+  if (!relay->keeps)
+    return;
+  struct relay_item *item = ensure_item (relay, key);
+  if (revision >= item->revision)
+    remove_item (relay, item, revision);
+}
+
+static void
+on_begin_list (void *arg)
+{
+  struct relay *relay = arg;
+  struct relay_item *item;
+  relay->complete = false;
+  for (item = relay->items; item != NULL; item = item->hh.next)
+    item->listed = false;
+}
+
+static void
+on_end_list (void *arg, uint64_t revision)
+{
+  struct relay *relay = arg;
+  struct relay_item *item, *next;
+  if (!relay->keeps)
+    return;
+  HASH_ITER (hh, relay->items, item, next)
+  {
+    if (!item->listed && !item->removed && item->revision <= revision)
+      remove_item (relay, item, revision);
+  }
+  relay->complete = true;
+}
+
+static size_t
+count_newer (const struct relay *relay, uint64_t revision, bool all)
+{
+  const struct relay_item *item;
+  size_t count = 0;
+  for (item = relay->items; item != NULL; item = item->hh.next)
+    count += all ? !item->removed : item->revision > revision;
+  return count;
+}
+
+static void
+fill (const struct relay *relay, uint64_t revision, bool all, peer_item *out)
+{
+  const struct relay_item *item;
+  for (item = relay->items; item != NULL; item = item->hh.next)
+    {
+      if (all ? item->removed : item->revision <= revision)
+        continue;
+      *out++ = (peer_item){ .key = item->key,
+                            .revision = item->revision,
+                            .created = item->created,
+                            .removed = item->removed,
+                            .value = { .value_len = (u_int)item->value_bytes,
+                                       .value_val = item->value } };
+    }
+}
+
+static bool
+reaches_store (const struct relay *relay)
+{
+  return mirror_reached (relay->mirror) && !relay->refused;
+}
+
+static void
+answer (struct relay *relay, uint64_t call, uint64_t revision)
+{
+  bool all = revision < relay->known;
+  size_t count = count_newer (relay, revision, all);
+  peer_item *items = mem_zalloc ((count + 1) * sizeof *items);
+  peer_body body = { .kind = PEER_KIND_FOLLOWED };
+  fill (relay, revision, all, items);
+  body.peer_body_u.followed = (peer_followed){
+    .revision = mirror_revision (relay->mirror),
+    .all = all,
+    .reached = reaches_store (relay),
+    .items = { .items_len = (u_int)count, .items_val = items },
+  };
+  hosts_reply (relay->hosts, call, &body);
+  free (items);
+}
+
+static void
+end_question (struct question *question)
+{
+  struct relay *relay = question->relay;
+  kernel_timer_cancel (relay->base.kernel, &question->limit);
+  DL_DELETE (relay->questions, question);
+  if (relay->complete)
+    answer (relay, question->call, question->revision);
+  else
+    hosts_reply (relay->hosts, question->call,
+                 &(peer_body){ .kind = PEER_KIND_REFUSED });
+  free (question);
+}
+
+static void
+on_limit (void *arg)
+{
+  end_question (arg);
+}
+
+static void
+on_taken (void *arg)
+{
+  struct relay *relay = arg;
+  struct question *question, *next;
+  if (!relay->complete)
+    return;
+  DL_FOREACH_SAFE (relay->questions, question, next)
+  {
+    if (question->revision < mirror_revision (relay->mirror))
+      end_question (question);
+  }
+}
+
+static void
+on_reach (void *arg, bool reached)
+{
+  struct relay *relay = arg;
+  /* The hosts that wait find out for themselves.  */
+  while (!reached && relay->questions != NULL)
+    end_question (relay->questions);
+}
+
+void
+relay_store_refuses (struct relay *relay, bool refuses)
+{
+  relay->refused = refuses;
+  on_reach (relay, !refuses);
+}
+
+static void
+on_follow (void *arg, uint64_t call, const peer_message *message)
+{
+  struct relay *relay = arg;
+  struct kernel *kernel = relay->base.kernel;
+  const peer_follow *follow = &message->body.peer_body_u.follow;
+  if (!relay->complete || follow->wait_ms > RELAY_WAIT_MS)
+    {
+      hosts_reply (relay->hosts, call,
+                   &(peer_body){ .kind = PEER_KIND_REFUSED });
+      return;
+    }
+  if (follow->revision < mirror_revision (relay->mirror)
+      || !reaches_store (relay))
+    {
+      answer (relay, call, follow->revision);
+      return;
+    }
+  struct question *question = mem_zalloc (sizeof *question);
+  question->relay = relay;
+  question->call = call;
+  question->revision = follow->revision;
+  question->limit = (struct ktimer){ .fire = on_limit, .arg = question };
+  DL_APPEND (relay->questions, question);
+  kernel_timer_set (kernel, &question->limit,
+                    kernel_now (kernel) + follow->wait_ms);
+}
+
+void
+relay_set_capacity (struct relay *relay, uint32_t capacity)
+{
+  relay->capacity = capacity;
+}
+
+void
+relay_hosts_changed (struct relay *relay)
+{
+  struct relays relays;
+  find_relays (relay, &relays);
+  if (relays.own == relay->keeps)
+    return;
+  relay->keeps = relays.own;
+  log_event (kernel_log (relay->base.kernel), LOG_NOTICE, "relay",
+             LOG_U ("serves", relay->keeps),
+             LOG_U ("domain_hosts", relays.domain_hosts));
+  if (relay->keeps)
+    {
+      mirror_list_again (relay->mirror);
+      return;
+    }
+  forget_all (relay);
+  while (relay->questions != NULL)
+    end_question (relay->questions);
+}
+
+static void
+relay_start (struct module *module)
+{
+  struct relay *relay = (struct relay *)module;
+  struct mirror_events events = { .prefix = "",
+                                  .item = on_item,
+                                  .removed = on_removed,
+                                  .begin_list = on_begin_list,
+                                  .end_list = on_end_list,
+                                  .taken = on_taken,
+                                  .reach = on_reach,
+                                  .arg = relay };
+  relay->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  relay->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
+  mirror_subscribe (relay->mirror, &events);
+  hosts_handle (relay->hosts, PEER_KIND_FOLLOW, on_follow, relay);
+}
+
+static void
+relay_free (struct module *module)
+{
+  struct relay *relay = (struct relay *)module;
+  relay->complete = false;
+  while (relay->questions != NULL)
+    end_question (relay->questions);
+  forget_all (relay);
+  free (relay);
+}
+
+static const struct module_ops relay_ops
+    = { .start = relay_start, .free = relay_free };
+
+struct relay *
+relay_new (void)
+{
+  struct relay *relay = mem_zalloc (sizeof *relay);
+  relay->base.ops = &relay_ops;
+  relay->base.name = "relay";
+  return relay;
+}
+
+struct module *
+relay_module (struct relay *relay)
+{
+  return &relay->base;
+}
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -1,5 +1,6 @@
 #include "proxy/roster_impl.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -57,6 +58,7 @@
              refuses ? LOG_WARNING : LOG_NOTICE,
              refuses ? "store_refuses" : "store_accepts",
              LOG_U ("reached", mirror_reached (roster->mirror)));
+  relay_store_refuses (roster->relay, refuses);
   roster_report (roster, WITNESS_STORE, refuses ? WITNESS_STORE : NULL);
 }
 
@@ -112,16 +114,18 @@
   return strncmp (name, REPORTS_PREFIX, strlen (REPORTS_PREFIX)) == 0;
 }
 
-/* Splits a registration, "DOMAIN ADDRESS PORT".  */
+/* Splits a registration, "DOMAIN ADDRESS PORT CAPACITY".  */
 static bool
-parse_registration (const struct roster_key *key, char zone[NAME_BYTES],
-                    struct peer_address *address)
+parse_registration (const struct roster_key *key, struct other_host *host)
 {
+  struct peer_address *address = &host->address;
   unsigned port;
-  *address = (struct peer_address){ 0 };
+  *host = (struct other_host){ 0 };
+  /* Hosts of an earlier version don't tell their capacity.  */
   if (!text_copy (address->name, NAME_BYTES, key->name + strlen (HOSTS_PREFIX))
-      || sscanf (key->value, "%63s %63s %u", zone, address->address, &port)
-             != 3
+      || sscanf (key->value, "%63s %63s %u %" SCNu32, host->zone,
+                 address->address, &port, &host->capacity)
+             < 3
       || port > UINT16_MAX)
     return false;
   address->port = (uint16_t)port;
@@ -137,13 +141,17 @@
   struct other_host *others
       = mem_zalloc ((HASH_COUNT (roster->keys) + 1) * sizeof *others);
   for (key = roster->keys; key != NULL; key = key->hh.next)
-    if (is_host_key (key->name)
-        && parse_registration (key, others[count].zone, &others[count].address)
+    if (is_host_key (key->name) && parse_registration (key, &others[count])
         && strcmp (others[count].address.name, roster->host) != 0)
       count++;
   hosts_set (roster->hosts, others, count);
   free (others);
   groups_hosts_counted (roster->groups);
+  relay_hosts_changed (roster->relay);
+  if (roster->host_lease != NULL)
+    lease_set_renew (roster->host_lease, relay_serves (roster->relay)
+                                             ? ROSTER_RELAY_RENEW_MS
+                                             : ROSTER_HOST_RENEW_MS);
 }
 
 void
@@ -341,6 +349,8 @@
       = (struct placement *)kernel_find (module->kernel, "placement");
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
   roster->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
+  roster->relay = (struct relay *)kernel_find (module->kernel, "relay");
+  relay_set_capacity (roster->relay, roster->capacity);
   roster->witness = (struct witness *)kernel_find (module->kernel, "witness");
   count_hosts (roster);
   mirror_subscribe (roster->mirror, &events);
@@ -394,8 +404,10 @@
   roster->store = options->store;
   text_copy (roster->host, sizeof roster->host, options->host);
   text_copy (roster->zone, sizeof roster->zone, options->zone);
-  snprintf (roster->registration, sizeof roster->registration, "%s %s %u",
-            options->zone, options->address, options->port);
+  snprintf (roster->registration, sizeof roster->registration,
+            "%s %s %u %" PRIu32, options->zone, options->address,
+            options->port, options->capacity);
+  roster->capacity = options->capacity;
   roster->secret_known = options->secret_known;
   roster->arg = options->arg;
   return roster;
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -6,7 +6,7 @@
    the duty is the revision at which its key was created: it rises with each
    holder.
 
-     savoryway/hosts/HOST                 "DOMAIN ADDRESS PORT"
+     savoryway/hosts/HOST                 "DOMAIN ADDRESS PORT CAPACITY"
      savoryway/secret                     of the messages between hosts
      savoryway/duty                       "HOST INCARNATION"
      savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of the
@@ -27,6 +27,8 @@
 /* A host that died no longer counts after this.  */
 #define ROSTER_HOST_LEASE_MS 6000
 #define ROSTER_HOST_RENEW_MS 2000
+/* The same for a relay, which has to notice soon that the store refuses it. */
+#define ROSTER_RELAY_RENEW_MS 500
 
 #define ROSTER_CALL_TIMEOUT_MS 700
 
@@ -45,6 +47,8 @@
 /* Spread of the attempts to take the duty, so that one host wins before most
    others ask; the longer one when all start together.  */
 #define ROSTER_SPREAD_MS 200
+/* Per host above this number the spread grows in proportion.  */
+#define ROSTER_SPREAD_HOSTS 16
 #define ROSTER_START_SPREAD_MS 2500
 
 /* A host that gave the duty up does not take it for this long.  */
@@ -57,6 +61,7 @@
   const char *zone;
   const char *address; /* at which other hosts reach this one */
   uint16_t port;
+  uint32_t capacity; /* of this host's link, in Mbit/s; 0: not known */
   /* Called once the secret between hosts is known.  */
   void (*secret_known) (void *arg, const uint8_t *secret);
   void *arg;
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -51,7 +51,12 @@
 void
 roster_claim_soon (struct roster *roster)
 {
-  roster_claim_within (roster, ROSTER_SPREAD_MS);
+  size_t others;
+  hosts_list (roster->hosts, &others);
+  clk_ms spread_ms = ROSTER_SPREAD_MS;
+  if (others > ROSTER_SPREAD_HOSTS)
+    spread_ms = spread_ms * (clk_ms)others / ROSTER_SPREAD_HOSTS;
+  roster_claim_within (roster, spread_ms);
 }
 
 static void
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -10,6 +10,7 @@
 #include "proxy/lease.h"
 #include "proxy/mirror.h"
 #include "proxy/placement.h"
+#include "proxy/relay.h"
 #include "proxy/roster.h"
 #include "proxy/witness.h"
 
@@ -63,7 +64,8 @@
   char host[NAME_BYTES];
   char zone[NAME_BYTES];
   char self[2 * NAME_BYTES];         /* "HOST INCARNATION" */
-  char registration[3 * NAME_BYTES]; /* "DOMAIN ADDRESS PORT" */
+  char registration[3 * NAME_BYTES]; /* "DOMAIN ADDRESS PORT CAPACITY" */
+  uint32_t capacity;
   void (*secret_known) (void *arg, const uint8_t *secret);
   void *arg;
   bool has_secret;
@@ -73,6 +75,7 @@
   struct placement *placement;
   struct groups *groups;
   struct mirror *mirror;
+  struct relay *relay;
   struct roster_key *keys;
   size_t report_keys; /* of them, reports */
   struct lease *host_lease;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -21,10 +21,11 @@
 #include "proxy/mirror.h"
 #include "proxy/placement.h"
 #include "proxy/promoter.h"
+#include "proxy/relay.h"
 #include "proxy/roster.h"
 #include "proxy/witness.h"
 
-#define FLEET_HOSTS 12
+#define FLEET_HOSTS 42
 #define FLEET_USUAL_HOSTS 6
 #define FLEET_INSTANCES 3
 #define FLEET_ZONES 3
@@ -114,10 +115,14 @@
 
 /* Makes the store silent, or lets it answer again.  */
 void fleet_store_down (struct fleet *fleet, bool down);
+/* Forgets the watches that wait: they are answered by nothing.  */
+void fleet_store_drop_watches (struct fleet *fleet);
 /* Forgets the store's history, so that watches get PLATFORM_COMPACTED.  */
 void fleet_store_compact (struct fleet *fleet);
 /* Calls made to the store so far.  */
 uint64_t fleet_store_calls (const struct fleet *fleet);
+/* Watches among them.  */
+uint64_t fleet_store_watches (const struct fleet *fleet);
 
 /* Promotions carried out, and the highest token seen.  */
 uint64_t fleet_promotions (const struct fleet *fleet);
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -56,6 +56,7 @@
   platform_done done;
   void *arg;
   bool waiting; /* a watch */
+  bool lost; /* a watch that the store forgot, on a connection that stands */
   clk_ms until_ms;
   struct store_call *prev;
   struct store_call *next;
@@ -70,6 +71,7 @@
   uint64_t next_call;
   uint64_t next_lease;
   uint64_t calls;
+  uint64_t watches;
   struct store_key *keys;
   struct store_lease *leases;
   size_t event_count;
@@ -338,7 +340,7 @@
 {
   struct late *late = arg;
   struct store_call *call = find_call (late->store, late->id);
-  bool over = call == NULL
+  bool over = call == NULL || call->lost
               || (is_served (call) && call->waiting && answer_watch (call));
   if (over)
     free (late);
@@ -449,6 +451,7 @@
     }
   call->until_ms = fleet_now (host->fleet) + request->wait_ms;
   store->calls++;
+  store->watches += request->kind == PLATFORM_WATCH;
   DL_APPEND (store->list, call);
   schedule (call, CALL_MS, call_arrived);
   schedule (call,
@@ -529,6 +532,17 @@
   check_leases (fleet->store);
 }
 
+void
+fleet_store_drop_watches (struct fleet *fleet)
+{
+  struct store_call *call;
+  DL_FOREACH (fleet->store->list, call)
+  {
+    call->lost |= call->waiting;
+    call->waiting = false;
+  }
+}
+
 void
 fleet_store_compact (struct fleet *fleet)
 {
@@ -537,6 +551,12 @@
   answer_watches (fleet->store);
 }
 
+uint64_t
+fleet_store_watches (const struct fleet *fleet)
+{
+  return fleet->store->watches;
+}
+
 uint64_t
 fleet_store_calls (const struct fleet *fleet)
 {
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -443,18 +443,20 @@
   ck_assert_uint_eq (fleet_promotions (fleet), 0);
 }
 
+#define SCARCE_HOSTS 12
+
 /* A fleet in which only some hosts have connections to the group.  */
 static void
 use_scarce_fleet (void)
 {
   size_t serving = 0;
   fleet_free (fleet);
-  fleet = fleet_new_scarce (7, FLEET_HOSTS, 20);
+  fleet = fleet_new_scarce (7, SCARCE_HOSTS, 20);
   fleet_run (fleet, SETTLE_MS);
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     serving += groups_serves (fleet_host (fleet, i)->groups, FLEET_GROUP);
   ck_assert_uint_ge (serving, 2);
-  ck_assert_uint_le (serving, FLEET_HOSTS / 2);
+  ck_assert_uint_le (serving, SCARCE_HOSTS / 2);
 }
 
 static void
@@ -483,10 +485,10 @@
 UNIT_TEST (test_hosts_without_connections_serve_whole_sessions)
 {
   use_scarce_fleet ();
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     run_session (fleet_host (fleet, i));
   fleet_run (fleet, 500);
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     ck_assert_uint_eq (guests_count (fleet_host (fleet, i)->guests), 0);
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     ck_assert_uint_le (fleet_instance (fleet, i)->connections, 20);
@@ -496,7 +498,7 @@
 {
   use_scarce_fleet ();
   fleet_instance (fleet, 0)->dark = true;
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     {
       clk_ms gap_ms = write_gap_ms (fleet_host (fleet, i));
       ck_assert_int_le (gap_ms, 1000 + FLEET_PROMOTE_MS);
@@ -508,7 +510,7 @@
 static struct fleet_host *
 forwarding_host (void)
 {
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     if (!groups_serves (fleet_host (fleet, i)->groups, FLEET_GROUP))
       return fleet_host (fleet, i);
   ck_abort_msg ("every host serves the group");
@@ -521,7 +523,7 @@
       = fleet_caller_open (forwarding_host (), FLEET_DATABASE_PRIMARY);
   ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
   ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     if (guests_count (fleet_host (fleet, i)->guests) > 0)
       fleet_host_kill (fleet_host (fleet, i));
   ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_ABORTED);
@@ -533,7 +535,7 @@
 count_guests (void)
 {
   size_t guests = 0;
-  for (size_t i = 0; i < FLEET_HOSTS; i++)
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
     if (fleet_host (fleet, i)->running)
       guests += guests_count (fleet_host (fleet, i)->guests);
   return guests;
@@ -623,6 +625,101 @@
   ck_assert_uint_gt (served, 0);
 }
 
+/* A fleet whose failure domains are large enough for relays.  */
+static void
+use_large_fleet (void)
+{
+  fleet_free (fleet);
+  fleet = fleet_new (7, FLEET_HOSTS);
+  fleet_run (fleet, SETTLE_MS);
+}
+
+static size_t
+hosts_known (size_t index)
+{
+  size_t count;
+  hosts_list (fleet_host (fleet, index)->others, &count);
+  return count + 1;
+}
+
+static bool
+serves_others (size_t index)
+{
+  const struct fleet_host *host = fleet_host (fleet, index);
+  return host->running
+         && relay_serves ((struct relay *)kernel_find (host->kernel, "relay"));
+}
+
+UNIT_TEST (test_hosts_of_a_large_domain_follow_its_relays)
+{
+  size_t relays = 0;
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    relays += serves_others (i);
+  ck_assert_uint_eq (relays, (uintmax_t)RELAY_HOSTS * FLEET_ZONES);
+  uint64_t before = fleet_store_watches (fleet);
+  for (size_t i = 0; i < 10; i++)
+    {
+      struct fleet_host *host = fleet_host (fleet, 40);
+      fleet_host_kill (host);
+      fleet_run (fleet, 1000);
+      fleet_host_start (host);
+      fleet_run (fleet, 1000);
+    }
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    ck_assert_uint_eq (hosts_known (i), FLEET_HOSTS);
+  /* Each change could bring each host a watch.  */
+  ck_assert_uint_le (fleet_store_watches (fleet) - before,
+                     10 * FLEET_HOSTS / 2);
+}
+
+UNIT_TEST (test_hosts_learn_of_a_change_without_their_relays)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (serves_others (i) && i % 2 == 0)
+      fleet_host (fleet, i)->peers_cut = true;
+    else if (serves_others (i))
+      fleet_host (fleet, i)->store_cut = true;
+  fleet_host_kill (fleet_host (fleet, 41));
+  fleet_run (fleet, ROSTER_HOST_LEASE_MS + 3000);
+  for (size_t i = 0; i < FLEET_HOSTS - 1; i++)
+    if (!serves_others (i))
+      ck_assert_uint_lt (hosts_known (i), FLEET_HOSTS);
+}
+
+/* A watch that waits at a store that answers nothing any more tells nothing;
+   what the other hosts get must not depend on it.  */
+UNIT_TEST (test_a_relay_that_the_store_refuses_tells_its_followers)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->store_cut = serves_others (i);
+  fleet_run (fleet, 1500);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    {
+      const struct fleet_host *host = fleet_host (fleet, i);
+      const struct relay *relay
+          = (const struct relay *)kernel_find (host->kernel, "relay");
+      uint64_t token;
+      /* The holder of the duty follows the store itself.  */
+      if (!serves_others (i) && !roster_holds (host->roster, &token))
+        ck_assert_ptr_null (relay_source (relay));
+    }
+}
+
+UNIT_TEST (test_a_host_that_missed_what_a_relay_forgot_gets_all)
+{
+  use_large_fleet ();
+  fleet_store_compact (fleet);
+  fleet_run (fleet, 3000);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    ck_assert_uint_eq (hosts_known (i), FLEET_HOSTS);
+  fleet_instance (fleet, 0)->dark = true;
+  ck_assert_int_le (write_gap_ms (fleet_host (fleet, 1)),
+                    1000 + FLEET_PROMOTE_MS);
+}
+
 UNIT_PLAIN (test_hosts_take_as_many_groups_as_the_connections_allow)
 {
   ck_assert_uint_eq (placement_width (72, 17, 3), 3);
