Begin the watch anew when the store takes calls again

Cause: a store that is silent for some seconds keeps the connection of a watch that waits and may forget the watch.

Change: once a call is taken again after one that was not, the watch begins anew; one call a host and outage.

The test fails without the change.

--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -59,6 +59,8 @@
              refuses ? "store_refuses" : "store_accepts",
              LOG_U ("reached", mirror_reached (roster->mirror)));
   relay_store_refuses (roster->relay, refuses);
+  if (!refuses)
+    mirror_watch_again (roster->mirror);
   roster_report (roster, WITNESS_STORE, refuses ? WITNESS_STORE : NULL);
 }
 
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -369,6 +369,25 @@
   ck_assert_uint_eq (fleet_promotions (fleet), 1);
 }
 
+/* A store that was silent may have lost the watches that waited.  */
+UNIT_TEST (test_a_watch_from_before_an_outage_is_not_relied_on)
+{
+  size_t count;
+  fleet_run (fleet, 3000); /* all watch */
+  fleet_store_drop_watches (fleet);
+  fleet_store_down (fleet, true);
+  fleet_run (fleet, 2800);
+  fleet_store_down (fleet, false);
+  fleet_run (fleet, 3000);
+  fleet_host_kill (fleet_host (fleet, 5));
+  fleet_run (fleet, ROSTER_HOST_LEASE_MS + 2500);
+  for (size_t i = 0; i < 5; i++)
+    {
+      hosts_list (fleet_host (fleet, i)->others, &count);
+      ck_assert_uint_eq (count, 4);
+    }
+}
+
 UNIT_TEST (test_entries_that_lapsed_in_an_outage_prove_nothing_at_once)
 {
   struct fleet_caller *caller
