Replace the registration of the process before; keep the list of hosts when many lapse

Change: the new process replaces the registration; a list that lost more than a quarter within 4 s is taken over after that time only, as after an outage in which leases ran out.

--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -70,26 +70,53 @@
   snprintf (out, KEY_BYTES, HOSTS_PREFIX "%s", roster->host);
 }
 
+static void check_registration (struct roster *roster);
+
 static void
 registered (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
+  roster->registering = false;
   roster_note_store (roster, reply->status);
   if (reply->status == PLATFORM_OK)
-    mirror_expect (roster->mirror, reply->index);
+    {
+      roster->registered = reply->index;
+      mirror_expect (roster->mirror, reply->index);
+    }
   if (reply->status == PLATFORM_NOT_FOUND)
     lease_lost (roster->host_lease);
+  if (reply->status == PLATFORM_CONFLICT)
+    check_registration (roster);
 }
 
+/* Registers this host.  The registration of an earlier process of its name
+   is replaced: when its lease ends, all hosts would count one less.  */
 static void
 register_host (struct roster *roster)
 {
   char name[KEY_BYTES];
-  if (!lease_valid (roster->host_lease) || roster->leaving)
+  if (!lease_valid (roster->host_lease) || roster->leaving
+      || roster->registering)
     return;
   own_host_key (roster, name);
-  roster_write_key (roster, roster->host_lease, name, roster->registration, 0,
-                    registered, roster);
+  const struct roster_key *key = roster_find_key (roster, name);
+  roster->registering = true;
+  roster->replaced = key != NULL ? key->revision : 0;
+  roster_write_key (roster, roster->host_lease, name, roster->registration,
+                    roster->replaced, registered, roster);
+}
+
+/* Registers this host anew if the store shows another registration than it
+   wrote, and than it tried to replace.  */
+static void
+check_registration (struct roster *roster)
+{
+  char own[KEY_BYTES];
+  own_host_key (roster, own);
+  const struct roster_key *key = roster_find_key (roster, own);
+  if (key != NULL && key->revision != roster->registered
+      && key->revision != roster->replaced)
+    register_host (roster);
 }
 
 static void
@@ -134,6 +161,25 @@
   return true;
 }
 
+/* Whether a list of COUNT other hosts is taken over later: many registrations
+   that end together are rather those of an outage of the store, and come
+   back.  */
+static bool
+is_shrinking (struct roster *roster, size_t count)
+{
+  struct kernel *kernel = roster->base.kernel;
+  if (count >= roster->settled)
+    {
+      kernel_timer_cancel (kernel, &roster->shrink);
+      roster->settled = count;
+      return false;
+    }
+  if (roster->shrink.slot == 0)
+    kernel_timer_set (kernel, &roster->shrink,
+                      kernel_now (kernel) + ROSTER_SHRINK_MS);
+  return 4 * (count + 1) < 3 * (roster->settled + 1);
+}
+
 /* Tells which other hosts are registered.  */
 static void
 count_hosts (struct roster *roster)
@@ -146,6 +192,11 @@
     if (is_host_key (key->name) && parse_registration (key, &others[count])
         && strcmp (others[count].address.name, roster->host) != 0)
       count++;
+  if (is_shrinking (roster, count))
+    {
+      free (others);
+      return;
+    }
   hosts_set (roster->hosts, others, count);
   free (others);
   groups_hosts_counted (roster->groups);
@@ -156,6 +207,14 @@
                                              : ROSTER_HOST_RENEW_MS);
 }
 
+static void
+on_shrink (void *arg)
+{
+  struct roster *roster = arg;
+  roster->settled = 0;
+  count_hosts (roster);
+}
+
 void
 roster_leave (struct roster *roster)
 {
@@ -274,12 +333,14 @@
   key->revision = item->index;
   key->created = item->created;
   snprintf (key->value, sizeof key->value, "%s", item->value);
-  if (is_new && is_host_key (key->name))
+  if (changed && is_host_key (key->name))
     count_hosts (roster);
   if (is_report_key (key->name))
     roster_adopt_report (roster, key->name);
   if (strcmp (key->name, SECRET_KEY) == 0)
     take_secret (roster, key->value);
+  if (changed && is_host_key (key->name))
+    check_registration (roster);
   if (!changed)
     return;
   if (strcmp (key->name, DUTY_KEY) == 0)
@@ -362,6 +423,7 @@
   roster->duty_lease = lease_new (
       module->kernel, roster->store, "duty_lease", ROSTER_DUTY_LEASE_MS,
       ROSTER_DUTY_RENEW_MS, roster_duty_lease_gained, lease_answered, roster);
+  roster->shrink = (struct ktimer){ .fire = on_shrink, .arg = roster };
   roster->claim = (struct ktimer){ .fire = roster_on_claim, .arg = roster };
   lease_begin (roster->host_lease);
 }
@@ -373,6 +435,7 @@
   struct roster_key *key, *next;
   struct roster_report_state *state, *following;
   kernel_timer_cancel (module->kernel, &roster->claim);
+  kernel_timer_cancel (module->kernel, &roster->shrink);
   while (roster->verifications != NULL)
     {
       struct verification *check = roster->verifications;
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -30,6 +30,10 @@
 /* The same for a relay, which has to notice soon that the store refuses it. */
 #define ROSTER_RELAY_RENEW_MS 500
 
+/* A list of hosts that lost more than a quarter in this time is taken over
+   after it.  */
+#define ROSTER_SHRINK_MS 4000
+
 #define ROSTER_CALL_TIMEOUT_MS 700
 
 /* Between two writes of a report.  */
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -82,8 +82,14 @@
   struct lease *duty_lease;
   bool duty_call;
   clk_ms yield_until_ms;
+  uint64_t fenced_token; /* of a duty that was given up */
   bool leaving;
+  uint64_t registered; /* revision of this process's registration */
+  uint64_t replaced;   /* revision that it tried to replace */
+  bool registering;
+  size_t settled; /* most other hosts of late */
   struct ktimer claim;
+  struct ktimer shrink;
   struct roster_report_state *reports;
   struct verification *verifications;
 };
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -360,6 +360,46 @@
       roster_reports (other, FLEET_GROUP, "i-0").hosts_reporting, 0);
 }
 
+/* The leases of processes that lost power end after their successors have
+   started.  */
+UNIT_TEST (test_hosts_that_restart_at_once_stay_known)
+{
+  size_t count;
+  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+    fleet_host_kill (fleet_host (fleet, i));
+  fleet_run (fleet, 1000);
+  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+    fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, 500);
+  for (int step = 0; step < 100; step++)
+    {
+      fleet_run (fleet, 100);
+      for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+        {
+          hosts_list (fleet_host (fleet, i)->others, &count);
+          ck_assert_uint_eq (count, FLEET_USUAL_HOSTS - 1);
+        }
+    }
+}
+
+/* An outage in which the store lets leases run out.  */
+UNIT_TEST (test_hosts_whose_registrations_lapse_together_stay_known)
+{
+  size_t count;
+  fleet_store_down (fleet, true);
+  fleet_run (fleet, ROSTER_HOST_LEASE_MS + 2000);
+  fleet_store_down (fleet, false);
+  for (int step = 0; step < 100; step++)
+    {
+      fleet_run (fleet, 100);
+      for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+        {
+          hosts_list (fleet_host (fleet, i)->others, &count);
+          ck_assert_uint_ge (4 * (count + 1), 3 * FLEET_USUAL_HOSTS);
+        }
+    }
+}
+
 UNIT_TEST (test_a_store_that_forgot_its_history_is_read_anew)
 {
   fleet_store_compact (fleet);
