Serve no read on a new primary before it has applied its log

Cause: a promoted instance leads with what it had received, but goes on to apply it, under a lag for a second or more.

Change: group_proof asks a new primary for the position that it had received, unless its positions are of the term that follows the one seen last; until its log has reached that, it gives no samples, and reads and transactions on it wait.

--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -28,6 +28,9 @@
    position: a promotion under way ends within it.  */
 #define CALLER_HOLD_MS 900
 
+/* Until a primary that has not applied its log yet is asked again.  */
+#define CALLER_CATCH_UP_MS 20
+
 /* A read without an answer for this long, and for CALLER_SLOW_RATIO times
    what is usual, is tried on another instance.  */
 #define CALLER_SLOW_MS 400
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -580,6 +580,23 @@
     caller_finish (caller, answer);
 }
 
+/* Takes the answer to a plain BEGIN.  Returns false if the primary has not
+   applied its log yet; the statement then waits.  */
+static bool
+leader_covers (struct caller *caller, struct backend *backend,
+               const struct answer *answer)
+{
+  struct group *group = group_of (caller);
+  if (group == NULL || !answer->has_position)
+    return true;
+  group_proven (group, backend, answer->position, caller->run.begin_sent_ms);
+  if (group_covers (group, backend, answer->position))
+    return true;
+  drop_conn (caller);
+  caller_hold (caller, "the primary is catching up", CALLER_CATCH_UP_MS);
+  return false;
+}
+
 static void
 on_answered (struct conn_user *user, struct backend_conn *conn,
              enum conn_step step, const struct answer *answer)
@@ -617,9 +634,8 @@
       return;
     }
   if (step == STEP_BEGIN && caller_needs_leader (caller)
-      && answer->has_position && group_of (caller) != NULL)
-    group_proven (group_of (caller), backend, answer->position,
-                  run->begin_sent_ms);
+      && !leader_covers (caller, backend, answer))
+    return;
   if (conn_outstanding (conn) == 0)
     send_main (caller);
 }
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -25,8 +25,8 @@
   waiter->group = NULL;
 }
 
-static void
-wake_waiters (struct group *group)
+void
+group_wake (struct group *group)
 {
   while (group->waiters != NULL)
     {
@@ -43,8 +43,8 @@
                     kernel_now (groups->base.kernel));
 }
 
-static void
-set_leader (struct group *group, struct backend *leader, const char *why)
+void
+group_set_leader (struct group *group, struct backend *leader, const char *why)
 {
   struct backend *before = group->leader;
   if (before == leader)
@@ -65,25 +65,6 @@
     tick_soon (group->groups);
 }
 
-void
-group_proven (struct group *group, struct backend *backend,
-              struct position position, clk_ms asked_ms)
-{
-  /* A late proof of an earlier term does not replace a newer one.  */
-  if (position.term < samples_newest (&group->samples).term)
-    return;
-  set_leader (group, backend, "proven");
-  samples_note (&group->samples, position, asked_ms);
-  wake_waiters (group);
-}
-
-void
-group_refuted (struct group *group, struct backend *backend)
-{
-  if (group->leader == backend)
-    set_leader (group, NULL, "refused");
-}
-
 void
 group_behind (struct group *group, struct backend *backend)
 {
@@ -112,7 +93,7 @@
 {
   struct member_instance *instance = arg;
   (void)backend;
-  wake_waiters (instance->group);
+  group_wake (instance->group);
 }
 
 /* Connections of an instance that this host may open.  The holder of the
@@ -181,7 +162,8 @@
     i++;
   group->instances[i] = group->instances[--group->count];
   if (group->leader == instance->backend)
-    set_leader (group, NULL, "gone");
+    group_set_leader (group, NULL, "gone");
+  group_forget_proof (group, instance->backend);
   backend_free (instance->backend);
   free (instance);
 }
@@ -264,10 +246,10 @@
   if (instance == NULL || !entry->is_primary)
     return;
   if (group->leader == NULL || !group->connected)
-    set_leader (group, instance->backend, "entry");
+    group_set_leader (group, instance->backend, "entry");
   else if (group->leader != instance->backend)
     backend_probe (instance->backend);
-  wake_waiters (group);
+  group_wake (group);
 }
 
 /* Treats an instance whose entry is gone as one that leaves; a primary is
@@ -504,6 +486,7 @@
 static void
 group_free (struct group *group)
 {
+  group_forget_proof (group, group->asked);
   while (group->count > 0)
     remove_instance (group, group->instances[0]);
   free (group);
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -80,6 +80,7 @@
 struct groups_options
 {
   struct instance_port *port;
+  status_parse parse_status;
   const char *zone; /* failure domain of this host */
 };
 
@@ -136,6 +137,11 @@
 /* Notes that BACKEND led when asked at ASKED_MS, with its position.  */
 void group_proven (struct group *group, struct backend *backend,
                    struct position position, clk_ms asked_ms);
+/* Whether a read on BACKEND, which leads, sees all commits that were
+   acknowledged before, as its log has reached POSITION.  */
+bool group_covers (const struct group *group, const struct backend *backend,
+                   struct position position);
+
 /* Notes that BACKEND refused as it does not lead.  */
 void group_refuted (struct group *group, struct backend *backend);
 /* Another host reports that it can't reach the primary: asks it soon.  */
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "proxy/group.h"
+#include "proxy/inquiry.h"
 #include "proxy/placement.h"
 
 struct member_instance
@@ -24,6 +25,11 @@
   size_t count;
   struct member_instance *instances[GROUP_INSTANCES];
   struct backend *leader;
+  /* What is known of the log of the instance that leads.  */
+  struct backend *covering; /* whose log covers all from COVERS on */
+  struct position covers;
+  struct backend *asked; /* for its state */
+  struct inquiry *inquiry;
   clk_ms leaderless_ms;
   clk_ms used_ms;
   bool served;    /* callers' statements run on this host's connections */
@@ -54,6 +60,14 @@
   return kernel_now (group->groups->base.kernel);
 }
 
+void group_set_leader (struct group *group, struct backend *leader,
+                       const char *why);
+/* Wakes who waits for a change.  */
+void group_wake (struct group *group);
+
+/* group_proof.c: forgets what is known of BACKEND.  */
+void group_forget_proof (struct group *group, const struct backend *backend);
+
 /* group_domains.c: finds out whether this host is cut off.  */
 void groups_check_domains (struct groups *groups);
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -50,6 +50,8 @@
   struct position applied;
   struct position received;
   bool leads;
+  uint64_t
+      lead_term; /* of a leader that has not applied its log yet; else 0 */
   bool draining;
   bool absent; /* from the store */
   bool dark;   /* silent, new connections too */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -203,10 +203,31 @@
   fleet_later (replica->fleet, replica->lag_ms, apply, step);
 }
 
+/* A new leader has applied all that it had received.  */
+static void
+apply_all (struct fleet_instance *leader)
+{
+  if (leader->lead_term == 0)
+    return;
+  leader->applied
+      = (struct position){ leader->lead_term, leader->received.lsn };
+  leader->received = leader->applied;
+  leader->lead_term = 0;
+}
+
+static void
+applied_all (void *arg)
+{
+  struct fleet_instance *leader = arg;
+  if (leader->leads)
+    apply_all (leader);
+}
+
 static struct position
 commit_position (struct instance_link *link)
 {
   struct fleet_instance *leader = link->instance;
+  apply_all (leader);
   leader->applied.lsn++;
   leader->received = leader->applied;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
@@ -354,6 +375,7 @@
 lose_lead (struct fleet_instance *instance)
 {
   instance->leads = false;
+  apply_all (instance);
 }
 
 static void
@@ -369,7 +391,9 @@
   const struct fleet_instance *instance = link->instance;
   snprintf (link->body, sizeof link->body,
             "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 0\r\n",
-            instance->leads ? "primary" : "replica", instance->received.term,
+            instance->leads ? "primary" : "replica",
+            instance->lead_term != 0 ? instance->lead_term
+                                     : instance->received.term,
             instance->received.term, instance->received.lsn);
   link->answer.body = link->body;
   link->answer.body_bytes = strlen (link->body);
@@ -583,14 +607,19 @@
       if (old != NULL)
         lose_lead (old);
       oracle_rolled_back (fleet, chosen->received, term + 1);
+      struct position taken = { term + 1, chosen->received.lsn };
       chosen->leads = true;
-      chosen->applied = (struct position){ term + 1, chosen->received.lsn };
-      chosen->received = chosen->applied;
+      chosen->lead_term = term + 1;
+      /* It goes on to apply what it had received, as slowly as before.  */
+      if (position_compare (chosen->applied, chosen->received) < 0)
+        fleet_later (fleet, chosen->lag_ms, applied_all, chosen);
+      else
+        apply_all (chosen);
       for (size_t i = 0; i < FLEET_INSTANCES; i++)
         if (&fleet->instances[i] != chosen)
           {
-            fleet->instances[i].applied = chosen->applied;
-            fleet->instances[i].received = chosen->applied;
+            fleet->instances[i].applied = taken;
+            fleet->instances[i].received = taken;
           }
       fleet->promotions++;
       fleet_publish (fleet);
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -151,8 +151,9 @@
 fleet_host_start (struct fleet_host *host)
 {
   struct fleet *fleet = host->fleet;
-  struct groups_options groups
-      = { .port = &host->instances, .zone = host->zone };
+  struct groups_options groups = { .port = &host->instances,
+                                   .parse_status = fleet_status_parse,
+                                   .zone = host->zone };
   struct hosts_options hosts = { .host = host->name, .zone = host->zone };
   struct roster_options roster = { .store = &host->store,
                                    .host = host->name,
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -211,6 +211,31 @@
   ck_assert_int_le (gap_ms, 1000 + FLEET_PROMOTE_MS);
 }
 
+/* A promoted instance leads before it has applied all that it received.  */
+UNIT_TEST (test_a_new_primary_serves_no_read_until_it_has_applied_its_log)
+{
+  struct fleet_caller *writer
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  for (int i = 0; i < 5; i++)
+    ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_run (fleet, 200);
+  fleet_instance (fleet, 1)->lag_ms = 1500;
+  fleet_instance (fleet, 2)->lag_ms = 1500;
+  for (int i = 0; i < 10; i++)
+    ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_instance (fleet, 0)->dark = true;
+  for (size_t i = 0; i < 200; i++)
+    {
+      struct fleet_host *host = fleet_host (fleet, i % FLEET_USUAL_HOSTS);
+      struct fleet_caller *reader = fleet_caller_open (
+          host, i % 2 ? FLEET_DATABASE_PRIMARY : FLEET_DATABASE_SESSION);
+      fleet_caller_send (reader, STMT_READ, "a", NULL);
+      fleet_run (fleet, 20);
+    }
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+  ck_assert_int_eq (run (writer, STMT_READ, "a", NULL), CODE_OK);
+}
+
 UNIT_TEST (test_the_instance_with_the_furthest_log_is_promoted)
 {
   struct fleet_caller *caller
