Hand a primary over only to a replica that keeps up; use no refused token again

A primary that many hosts could not reach was handed over; no replica had its log, and after 1.5 s the old primary of the term before was promoted, which brought back commits that reads had rightly missed, and lost those of the new term. And a holder that the store refused went on to order promotions under a token that the platform had refused, every 250 ms.

Change: before a primary steps down a replica must have received what it had of late; if none receives the rest, the old primary itself is promoted again. An instance that missed a whole term is passed over for 8 s. A token once refused no longer counts as held.

--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -14,6 +14,7 @@
 enum change_stage
 {
   CHANGE_NONE,
+  CHANGE_COMPARING,     /* hand-over: whether a replica keeps up */
   CHANGE_STEPPING_DOWN, /* hand-over: the old primary is told to stop */
   CHANGE_ASKING,        /* for the positions of the others */
   CHANGE_VERIFYING,     /* that this host holds the duty still */
@@ -31,10 +32,12 @@
   char old[NAME_BYTES];    /* empty if it is not known */
   char chosen[NAME_BYTES]; /* to be promoted */
   bool hand_over;
-  struct position final; /* of the old primary, in a hand-over */
+  struct position reached; /* by the old primary before a hand-over */
+  struct position final;   /* of the old primary, in a hand-over */
   clk_ms started_ms;
   clk_ms stage_ms;
   clk_ms next_ms;     /* earliest start of the next change */
+  clk_ms lost_ms;     /* when the first attempt without a primary began */
   clk_ms silent_ms;   /* since when the holder can't reach it */
   clk_ms reported_ms; /* since when a part of the hosts can't */
   uint64_t token;
@@ -145,9 +148,9 @@
 }
 
 static void
-order (struct change *change, const struct inquiry_row *row)
+order (struct change *change, const char *id)
 {
-  text_copy (change->chosen, sizeof change->chosen, row->id);
+  text_copy (change->chosen, sizeof change->chosen, id);
   set_stage (change, CHANGE_VERIFYING);
   roster_verify (change->promoter->roster, on_verified, change);
 }
@@ -176,6 +179,17 @@
   return answered;
 }
 
+/* Whether an instance with the log of TERM would bring back commits that a
+   later term has given up.  It is promoted if no other comes up.  */
+static bool
+lacks_term (const struct change *change, const struct group *group,
+            uint64_t term)
+{
+  return !change->hand_over
+         && term < samples_newest (group_samples (group)).term
+         && now_ms (change) - change->lost_ms < PROMOTER_OLD_TERM_MS;
+}
+
 static void
 on_positions (void *arg, const struct inquiry_row *rows, size_t count)
 {
@@ -197,13 +211,21 @@
       return;
     }
   if (change->hand_over
-      && position_compare (best->status.received, change->final) < 0
-      && now_ms (change) - change->started_ms < PROMOTER_CATCH_UP_MS)
+      && position_compare (best->status.received, change->final) < 0)
     {
-      ask_positions (change);
+      if (now_ms (change) - change->started_ms < PROMOTER_CATCH_UP_MS)
+        ask_positions (change);
+      else
+        order (change, change->old); /* no other has all commits */
+      return;
+    }
+  if (lacks_term (change, group, best->status.received.term))
+    {
+      stop_change (change, "no instance has the newest term",
+                   PROMOTER_RETRY_MS);
       return;
     }
-  order (change, best);
+  order (change, best->id);
 }
 
 /* Instances that may be promoted.  */
@@ -263,17 +285,67 @@
   ask_positions (change);
 }
 
+/* Tells the old primary to stop.  */
+static void
+step_down (struct change *change, struct group *group)
+{
+  struct promoter *promoter = change->promoter;
+  struct backend *old = group_leader (group);
+  uint64_t term = samples_newest (group_samples (group)).term + 1;
+  if (old == NULL || strcmp (backend_entry (old)->id, change->old) != 0)
+    {
+      stop_change (change, "the primary has changed", 0);
+      return;
+    }
+  set_stage (change, CHANGE_STEPPING_DOWN);
+  change->inquiry = inquiry_new (
+      promoter->base.kernel, promoter->options.parse_status, 1, &old,
+      STMT_STEPDOWN, term, PROMOTER_ASK_MS, on_stepped_down, change);
+}
+
+static void
+on_compared (void *arg, const struct inquiry_row *rows, size_t count)
+{
+  struct change *change = arg;
+  struct group *group = group_of (change);
+  const struct inquiry_row *best = furthest (rows, count);
+  change->inquiry = NULL;
+  if (group == NULL || best == NULL
+      || position_compare (best->status.received, change->reached) < 0)
+    {
+      stop_change (change, "no replica keeps up", PROMOTER_KEEP_UP_MS);
+      return;
+    }
+  step_down (change, group);
+}
+
+/* Before the primary steps down a replica must have received what it had of
+   late: else none could take over with all commits.  */
+static void
+compare (struct change *change, struct group *group)
+{
+  struct promoter *promoter = change->promoter;
+  struct backend *candidates[GROUP_INSTANCES];
+  size_t count = list_candidates (change, group, candidates);
+  change->reached = samples_newest (group_samples (group));
+  set_stage (change, CHANGE_COMPARING);
+  change->inquiry = inquiry_new (
+      promoter->base.kernel, promoter->options.parse_status, count, candidates,
+      STMT_STATUS, 0, PROMOTER_ASK_MS, on_compared, change);
+}
+
 static void
 start_change (struct change *change, struct backend *old, bool hand_over,
               const char *why)
 {
-  struct promoter *promoter = change->promoter;
   struct group *group = group_of (change);
   change->why = why;
   change->hand_over = hand_over;
   change->started_ms = now_ms (change);
   change->chosen[0] = '\0';
   change->final = (struct position){ 0 };
+  if (change->lost_ms == CLK_NEVER)
+    change->lost_ms = now_ms (change);
   text_copy (change->old, sizeof change->old,
              old != NULL ? backend_entry (old)->id : "");
   log_change (change, "promotion_begun", hand_over ? "hand_over" : "failover");
@@ -282,11 +354,7 @@
       ask_positions (change);
       return;
     }
-  set_stage (change, CHANGE_STEPPING_DOWN);
-  uint64_t term = samples_newest (group_samples (group)).term + 1;
-  change->inquiry = inquiry_new (
-      promoter->base.kernel, promoter->options.parse_status, 1, &old,
-      STMT_STEPDOWN, term, PROMOTER_ASK_MS, on_stepped_down, change);
+  compare (change, group);
 }
 
 /* Whether another instance than OLD may be promoted now.  */
@@ -360,6 +428,7 @@
           && strcmp (backend_entry (leader)->id, change->chosen) == 0)
         {
           log_change (change, "promotion_done", change->chosen);
+          change->lost_ms = CLK_NEVER;
           change->next_ms = now_ms (change);
           set_stage (change, CHANGE_NONE);
         }
@@ -377,7 +446,10 @@
         start_change (change, NULL, false, "no instance leads");
     }
   else if (backend_usable (leader))
-    consider_hand_over (change, group, leader);
+    {
+      change->lost_ms = CLK_NEVER;
+      consider_hand_over (change, group, leader);
+    }
   else
     consider_failover (change, group, leader);
 }
@@ -391,6 +463,7 @@
     return change;
   change = mem_zalloc (sizeof *change);
   change->promoter = promoter;
+  change->lost_ms = CLK_NEVER;
   change->silent_ms = CLK_NEVER;
   change->reported_ms = CLK_NEVER;
   text_copy (change->group, sizeof change->group, group);
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -30,6 +30,11 @@
 
 /* For a replica to receive what the old primary had, in a hand-over.  */
 #define PROMOTER_CATCH_UP_MS 1500
+/* Until a hand-over that found no replica keeping up is tried again.  */
+#define PROMOTER_KEEP_UP_MS 1000
+/* How long an instance that missed a whole term is passed over: its log holds
+   commits that the term has given up.  */
+#define PROMOTER_OLD_TERM_MS 8000
 
 /* How long others may reach a primary that the holder can't, until the
    holder gives the duty up.  */
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -24,7 +24,8 @@
 roster_holds (const struct roster *roster, uint64_t *token)
 {
   const struct roster_key *key = roster_find_key (roster, DUTY_KEY);
-  if (key == NULL || roster->leaving || strcmp (key->value, roster->self) != 0)
+  if (key == NULL || roster->leaving || strcmp (key->value, roster->self) != 0
+      || key->created == roster->fenced_token)
     return false;
   *token = key->created;
   if (lease_valid (roster->duty_lease))
@@ -121,6 +122,8 @@
     return;
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty_given_up",
              LOG_S ("why", why), LOG_U ("token", key->created));
+  /* Its lease may stand, or be out of reach.  */
+  roster->fenced_token = key->created;
   roster->yield_until_ms = roster_now (roster) + ROSTER_YIELD_MS;
   lease_end (roster->duty_lease);
 }
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -266,6 +266,67 @@
   ck_assert_int_le (gap_ms, 200 + FLEET_PROMOTE_MS);
 }
 
+/* A promotion would give up what no replica has received.  */
+UNIT_TEST (test_a_primary_is_not_handed_over_to_replicas_that_lag_behind)
+{
+  struct fleet_caller *writer
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  fleet_instance (fleet, 1)->deaf = true;
+  fleet_instance (fleet, 2)->deaf = true;
+  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+    fleet_host (fleet, i)->cut[0] = i % 2 == 1;
+  uint64_t token;
+  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+    if (roster_holds (fleet_host (fleet, i)->roster, &token))
+      fleet_host (fleet, i)->cut[0] = false;
+  fleet_host (fleet, 0)->cut[0] = false;
+  for (int i = 0; i < 40; i++)
+    {
+      ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+      fleet_run (fleet, 100);
+    }
+  ck_assert_uint_eq (fleet_promotions (fleet), 0);
+  ck_assert (fleet_leader (fleet) == fleet_instance (fleet, 0));
+}
+
+/* The old primary is back, with commits that the new term gave up.  */
+UNIT_TEST (test_an_instance_that_missed_a_term_is_passed_over)
+{
+  fleet_instance (fleet, 1)->deaf = true;
+  fleet_instance (fleet, 0)->dark = true;
+  write_gap_ms (fleet_host (fleet, 1));
+  struct fleet_instance *second = fleet_leader (fleet);
+  struct position old = { 1, second->received.lsn + 50 };
+  fleet_instance (fleet, 0)->dark = false;
+  fleet_instance (fleet, 0)->received = old;
+  fleet_instance (fleet, 0)->applied = old;
+  for (size_t i = 1; i < FLEET_INSTANCES; i++)
+    fleet_instance (fleet, i)->dark = true;
+  fleet_run (fleet, 5000);
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+  second->dark = false;
+  fleet_run (fleet, 2000);
+  ck_assert (fleet_leader (fleet) == second);
+}
+
+UNIT_TEST (test_a_token_that_the_platform_refused_is_not_used_again)
+{
+  uint64_t token = 0;
+  struct fleet_host *holder = NULL;
+  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
+    if (roster_holds (fleet_host (fleet, i)->roster, &token))
+      holder = fleet_host (fleet, i);
+  ck_assert_ptr_nonnull (holder);
+  fleet_store_down (fleet, true);
+  fleet_run (fleet, 4000);
+  ck_assert (roster_holds (holder->roster, &token));
+  roster_yield (holder->roster, "refused");
+  ck_assert (!roster_holds (holder->roster, &token));
+  fleet_run (fleet, 3000);
+  ck_assert (!roster_holds (holder->roster, &token));
+  fleet_store_down (fleet, false);
+}
+
 UNIT_TEST (test_one_host_that_cannot_reach_the_primary_changes_nothing)
 {
   for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
