--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -334,13 +334,14 @@
   key->created = item->created;
   snprintf (key->value, sizeof key->value, "%s", item->value);
   if (changed && is_host_key (key->name))
-    count_hosts (roster);
+    {
+      count_hosts (roster);
+      check_registration (roster);
+    }
   if (is_report_key (key->name))
     roster_adopt_report (roster, key->name);
   if (strcmp (key->name, SECRET_KEY) == 0)
     take_secret (roster, key->value);
-  if (changed && is_host_key (key->name))
-    check_registration (roster);
   if (!changed)
     return;
   if (strcmp (key->name, DUTY_KEY) == 0)
--- a/tests/demo_platform.sh
+++ b/tests/demo_platform.sh
@@ -58,7 +58,7 @@
 "$build/savoryway" serve --host=demo --domain=zone-1 --caller-endpoint=127.0.0.1:0 \
   --ready-endpoint=127.0.0.1:0 --host-endpoint=127.0.0.1:$((20000 + $$ % 20000)) \
   --store-endpoint="127.0.0.1:$store" --promote-endpoint="127.0.0.1:$promote" \
-  --shutdown-limit-s=3 >"$work/host.log" &
+  --metrics-endpoint=127.0.0.1:0 --shutdown-limit-s=3 >"$work/host.log" &
 pids+=($!)
 callers=$(port 'interface=callers port=' "$work/host.log") || wrong "no host"
 
@@ -71,6 +71,12 @@
 answer=$(ask "READ 1")
 [[ $answer == "ROW sandbags COMPLETE i-"* ]] || wrong "read: $answer"
 echo "   right: wrote on the primary, read its write: $answer"
+operators=$(port 'interface=metrics port=' "$work/host.log") || wrong "no operators' listener"
+at=(--operator-address=127.0.0.1 --operator-port="$operators")
+"$build/savoryway" status "${at[@]}" | grep -q 'store_reached *yes' || wrong "status"
+"$build/savoryway" topology "${at[@]}" | grep -q 'i-0 .* primary .*demo' || wrong "topology"
+"$build/savoryway" explain --database=ledger "${at[@]}" | grep -q '"why"' || wrong "explain"
+echo "   right: status, topology and explain tell of it"
 body='{"instance":0,"kind":"crash"}'
 exec 7<>"/dev/tcp/127.0.0.1/$control"
 printf 'POST /fault HTTP/1.1\r\nHost: demo\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
