Replace a primary only if two thirds of the hosts can't reach it; know of none together

Of a split primary one half of the hosts reached the old one, the other half only its replicas; the holder replaced it, the next holder, whose primary had refused as it had lost the lead, knew of no other and had the old one promoted back, and so on: commits that one term gave up came back with the next.

Change: a failure domain reports an instance if two thirds of its hosts do, not half, as the others forward; a hand-over for a partly cut primary needs two thirds as well. That a host knows of no primary is a report like others, and the holder alone promotes nothing for it.

--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -378,7 +378,7 @@
   struct roster_view view = roster_reports (
       change->promoter->roster, change->group, backend_entry (leader)->id);
   change->silent_ms = CLK_NEVER;
-  if (3 * view.hosts_reporting < view.hosts || view.hosts_reporting == 0)
+  if (3 * view.hosts_reporting < 2 * view.hosts || view.hosts_reporting == 0)
     change->reported_ms = CLK_NEVER;
   else if (change->reported_ms == CLK_NEVER)
     change->reported_ms = now_ms (change);
@@ -416,12 +416,25 @@
     }
 }
 
+/* The holder knows of no primary.  One that refused has lost the lead to
+   another, which other hosts may reach.  */
+static void
+consider_leaderless (struct change *change, struct group *group)
+{
+  clk_ms since_ms = group_leaderless_since_ms (group);
+  struct roster_view view = roster_reports (change->promoter->roster,
+                                            change->group, ROSTER_NO_PRIMARY);
+  if (now_ms (change) - since_ms >= PROMOTER_LEADERLESS_MS
+      && 2 * view.domains_reporting > view.domains
+      && has_candidate (group, NULL))
+    start_change (change, NULL, false, "no instance leads");
+}
+
 /* Looks after GROUP on the host with the duty.  */
 static void
 watch_group (struct change *change, struct group *group)
 {
   struct backend *leader = group_leader (group);
-  clk_ms leaderless_ms = group_leaderless_since_ms (group);
   if (change->stage == CHANGE_AWAITED)
     {
       if (leader != NULL
@@ -439,12 +452,7 @@
   if (change->stage != CHANGE_NONE || now_ms (change) < change->next_ms)
     return;
   if (leader == NULL)
-    {
-      if (leaderless_ms != CLK_NEVER
-          && now_ms (change) - leaderless_ms >= PROMOTER_LEADERLESS_MS
-          && has_candidate (group, NULL))
-        start_change (change, NULL, false, "no instance leads");
-    }
+    consider_leaderless (change, group);
   else if (backend_usable (leader))
     {
       change->lost_ms = CLK_NEVER;
@@ -471,17 +479,30 @@
   return change;
 }
 
+/* What this host reports of GROUP; NULL: nothing.  */
+static const char *
+report_of (const struct promoter *promoter, struct group *group)
+{
+  struct backend *leader = group_leader (group);
+  clk_ms now_ms = kernel_now (promoter->base.kernel);
+  if (!group_connected (group))
+    return NULL;
+  if (leader != NULL)
+    return backend_usable (leader) ? NULL : backend_entry (leader)->id;
+  return now_ms - group_leaderless_since_ms (group) >= PROMOTER_UNKNOWN_MS
+             ? ROSTER_NO_PRIMARY
+             : NULL;
+}
+
 static void
 tend_group (void *arg, struct group *group)
 {
   struct promoter *promoter = arg;
   struct change *change = ensure_change (promoter, group_name (group));
   struct backend *leader = group_leader (group);
-  bool unreachable
-      = group_connected (group) && leader != NULL && !backend_usable (leader);
   uint64_t token;
   roster_report (promoter->roster, group_name (group),
-                 unreachable ? backend_entry (leader)->id : NULL);
+                 report_of (promoter, group));
   if (leader != NULL
       && roster_reports (promoter->roster, group_name (group),
                          backend_entry (leader)->id)
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -2,9 +2,9 @@
 
    A primary that neither the holder nor most failure domains can reach is
    replaced by the instance with the furthest log.  One that is leaving, or
-   that a third of the hosts can't reach while the holder can, is handed over
-   without loss: it steps down, an instance receives all that it had, and is
-   promoted.  Where commits wait for a replica, all other instances stop
+   that two thirds of the hosts can't reach while the holder can, is handed
+   over without loss: it steps down, an instance receives all that it had, and
+   is promoted.  Where commits wait for a replica, all other instances stop
    receiving and tell their position first, so that no commit acknowledged
    meanwhile is left out.
 
@@ -19,9 +19,13 @@
 
 #define PROMOTER_TICK_MS 50
 
-/* Without any primary for this long, one is promoted.  */
+/* Without any primary for this long, one is promoted, if most failure domains
+   know of none.  */
 #define PROMOTER_LEADERLESS_MS 500
 
+/* A host that has known of no primary for this long reports that.  */
+#define PROMOTER_UNKNOWN_MS 200
+
 /* For the instances to tell their position.  */
 #define PROMOTER_ASK_MS 250
 
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -94,7 +94,8 @@
                     const char *instance);
 
 /* Who can't reach an instance, of the hosts that have connections to its
-   group.  A failure domain counts as reporting if half of its hosts do.  */
+   group.  A failure domain counts as reporting if two thirds of its hosts do:
+   while the others reach the instance, statements are forwarded to them.  */
 struct roster_view
 {
   size_t hosts;
@@ -103,6 +104,9 @@
   size_t domains_reporting;
 };
 
+/* Reported in place of an instance: this host knows of no primary.  */
+#define ROSTER_NO_PRIMARY "-"
+
 /* Counts the hosts that report INSTANCE, this one included; all 0 if nothing
    is reported at all.  */
 struct roster_view roster_reports (const struct roster *roster,
--- a/src/proxy/roster_reports.c
+++ b/src/proxy/roster_reports.c
@@ -259,7 +259,7 @@
         continue;
       view.hosts += domain->hosts;
       view.domains++;
-      view.domains_reporting += 2 * reports >= domain->hosts;
+      view.domains_reporting += 3 * reports >= 2 * domain->hosts;
     }
   return view;
 }
