Tell each other how much of the store was seen; begin a watch anew that is behind

Change: for 2.4 s after something new hosts that follow the store tell two others, drawn anew each 400 ms, how much of it they have seen; one whose watch waits and is behind begins it anew after 400 ms. In calm times nothing is sent.

The test fails without the change.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -27,6 +27,8 @@
   struct ktimer retry;
   uint64_t expected;
   struct ktimer expect;
+  uint64_t heard; /* by another host */
+  struct ktimer hear;
 };
 
 static void next_call (struct mirror *mirror);
@@ -76,7 +78,8 @@
   for (size_t i = 0; i < mirror->subscriber_count; i++)
     {
       const struct mirror_events *events = &mirror->subscribers[i];
-      if (strncmp (item->key, events->prefix, strlen (events->prefix)) != 0)
+      if (events->item == NULL
+          || strncmp (item->key, events->prefix, strlen (events->prefix)) != 0)
         continue;
       if (item->removed)
         events->removed (events->arg, item->key, item->index);
@@ -335,6 +338,38 @@
                     kernel_now (kernel) + MIRROR_EXPECT_MS);
 }
 
+static void
+on_heard (void *arg)
+{
+  struct mirror *mirror = arg;
+  if (mirror->revision >= mirror->heard || mirror->call == 0 || mirror->listing
+      || mirror_follows (mirror))
+    return;
+  log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_behind",
+             LOG_U ("revision", mirror->revision),
+             LOG_U ("heard", mirror->heard));
+  mirror_watch_again (mirror);
+}
+
+void
+mirror_heard (struct mirror *mirror, uint64_t revision)
+{
+  struct kernel *kernel = mirror->base.kernel;
+  if (revision > mirror->heard)
+    mirror->heard = revision;
+  /* While changes settle no watch waits; the next one brings them.  */
+  if (mirror->heard > mirror->revision && mirror->call != 0
+      && mirror->hear.slot == 0)
+    kernel_timer_set (kernel, &mirror->hear,
+                      kernel_now (kernel) + MIRROR_HEARD_MS);
+}
+
+bool
+mirror_follows (const struct mirror *mirror)
+{
+  return mirror->source[0] != '\0';
+}
+
 static void
 mirror_start (struct module *module)
 {
@@ -352,6 +387,7 @@
   drop_call (mirror);
   kernel_timer_cancel (module->kernel, &mirror->retry);
   kernel_timer_cancel (module->kernel, &mirror->expect);
+  kernel_timer_cancel (module->kernel, &mirror->hear);
   free (mirror->after);
   free (mirror);
 }
@@ -369,6 +405,7 @@
   mirror->retry.fire = on_retry;
   mirror->retry.arg = mirror;
   mirror->expect = (struct ktimer){ .fire = on_expect, .arg = mirror };
+  mirror->hear = (struct ktimer){ .fire = on_heard, .arg = mirror };
   return mirror;
 }
 
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -33,8 +33,12 @@
 
 #define MIRROR_EXPECT_MS 2000
 
+/* For a watch that waits to tell what another host has seen.  */
+#define MIRROR_HEARD_MS 400
+
 #define MIRROR_SUBSCRIBERS 8
 
+/* ITEM and REMOVED may both be NULL.  */
 struct mirror_events
 {
   const char *prefix;
@@ -70,6 +74,13 @@
 /* What the store had up to here has been taken in.  */
 uint64_t mirror_revision (const struct mirror *mirror);
 
+/* Another host has seen the store at REVISION: if this host's watch does not
+   tell of it within MIRROR_HEARD_MS it is begun again.  */
+void mirror_heard (struct mirror *mirror, uint64_t revision);
+
+/* Whether this host follows a relay just now.  */
+bool mirror_follows (const struct mirror *mirror);
+
 /* Begins the watch anew: the store refused other calls meanwhile, and may have
    lost it.  */
 void mirror_watch_again (struct mirror *mirror);
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -55,6 +55,8 @@
   size_t removed_count;
   struct relay_item *items;
   struct question *questions;
+  size_t watcher_count;
+  const struct other_host **watchers;
   size_t next_failed;
   struct failed_relay failed[RELAY_HOSTS];
 };
@@ -71,52 +73,100 @@
   return own != other ? own > other : strcmp (name, other_name) < 0;
 }
 
-/* Relays of this host's failure domain, the best one first.  */
+/* The relays of a failure domain, the best one first, of the other hosts.  */
 struct relays
 {
-  size_t domain_hosts; /* this one included */
-  bool own;            /* this host is one of them */
-  size_t count;        /* of the others */
-  const struct other_host *others[RELAY_HOSTS];
+  const char *zone;
+  size_t domain_hosts;
+  size_t count;
+  const struct other_host *hosts[RELAY_HOSTS];
 };
 
 static void
 insert (struct relays *relays, const struct other_host *host)
 {
   size_t at = relays->count;
+  relays->domain_hosts++;
   while (at > 0
          && precedes (host->capacity, host->address.name,
-                      relays->others[at - 1]->capacity,
-                      relays->others[at - 1]->address.name))
+                      relays->hosts[at - 1]->capacity,
+                      relays->hosts[at - 1]->address.name))
     at--;
   if (at == RELAY_HOSTS)
     return;
   if (relays->count < RELAY_HOSTS)
     relays->count++;
   for (size_t i = relays->count - 1; i > at; i--)
-    relays->others[i] = relays->others[i - 1];
-  relays->others[at] = host;
+    relays->hosts[i] = relays->hosts[i - 1];
+  relays->hosts[at] = host;
 }
 
-static void
-find_relays (const struct relay *relay, struct relays *relays)
+/* Lists the failure domains, this host's own first; returns their number.  */
+static size_t
+find_relays (const struct relay *relay, struct relays all[RELAY_DOMAINS])
 {
-  size_t count, before = 0;
+  size_t count, domains = 1;
   const struct other_host *others = hosts_list (relay->hosts, &count);
-  *relays = (struct relays){ .domain_hosts = 1 };
+  all[0] = (struct relays){ .zone = hosts_own_zone (relay->hosts),
+                            .domain_hosts = 1 };
   for (size_t i = 0; i < count; i++)
     {
-      if (strcmp (others[i].zone, hosts_own_zone (relay->hosts)) != 0)
+      size_t d = 0;
+      while (d < domains && strcmp (all[d].zone, others[i].zone) != 0)
+        d++;
+      if (d == RELAY_DOMAINS)
         continue;
-      relays->domain_hosts++;
-      insert (relays, &others[i]);
+      if (d == domains)
+        all[domains++] = (struct relays){ .zone = others[i].zone };
+      insert (&all[d], &others[i]);
     }
-  for (size_t i = 0; i < relays->count; i++)
-    before += precedes (relays->others[i]->capacity,
-                        relays->others[i]->address.name, relay->capacity,
-                        hosts_own_name (relay->hosts));
-  relays->own
-      = relays->domain_hosts >= RELAY_DOMAIN_HOSTS && before < RELAY_HOSTS;
+  return domains;
+}
+
+/* Whether this host is one of the relays of its failure domain, OWN.  */
+static bool
+is_relay (const struct relay *relay, const struct relays *own)
+{
+  size_t before = 0;
+  for (size_t i = 0; i < own->count; i++)
+    before += precedes (own->hosts[i]->capacity, own->hosts[i]->address.name,
+                        relay->capacity, hosts_own_name (relay->hosts));
+  return own->domain_hosts >= RELAY_DOMAIN_HOSTS && before < RELAY_HOSTS;
+}
+
+/* Whether HOST follows the store: where its failure domain has relays, only
+   they do.  */
+static bool
+is_watcher (const struct relays *domain, const struct other_host *host)
+{
+  if (domain->domain_hosts < RELAY_DOMAIN_HOSTS)
+    return true;
+  for (size_t i = 0; i < domain->count; i++)
+    if (domain->hosts[i] == host)
+      return true;
+  return false;
+}
+
+static void
+list_watchers (struct relay *relay, const struct relays *all, size_t domains)
+{
+  size_t count;
+  const struct other_host *others = hosts_list (relay->hosts, &count);
+  free (relay->watchers);
+  relay->watchers = mem_zalloc ((count + 1) * sizeof *relay->watchers);
+  relay->watcher_count = 0;
+  for (size_t i = 0; i < count; i++)
+    for (size_t d = 0; d < domains; d++)
+      if (strcmp (all[d].zone, others[i].zone) == 0
+          && is_watcher (&all[d], &others[i]))
+        relay->watchers[relay->watcher_count++] = &others[i];
+}
+
+const struct other_host *const *
+relay_watchers (const struct relay *relay, size_t *count)
+{
+  *count = relay->watcher_count;
+  return relay->watchers;
 }
 
 static bool
@@ -133,14 +183,15 @@
 const struct other_host *
 relay_source (const struct relay *relay)
 {
-  struct relays relays;
-  find_relays (relay, &relays);
-  if (relays.own || relays.domain_hosts < RELAY_DOMAIN_HOSTS
+  struct relays all[RELAY_DOMAINS];
+  const struct relays *own = &all[0];
+  find_relays (relay, all);
+  if (is_relay (relay, own) || own->domain_hosts < RELAY_DOMAIN_HOSTS
       || !hosts_ready (relay->hosts))
     return NULL;
-  for (size_t i = 0; i < relays.count; i++)
-    if (!is_down (relay, relays.others[i]->address.name))
-      return relays.others[i];
+  for (size_t i = 0; i < own->count; i++)
+    if (!is_down (relay, own->hosts[i]->address.name))
+      return own->hosts[i];
   return NULL;
 }
 
@@ -416,14 +467,16 @@
 void
 relay_hosts_changed (struct relay *relay)
 {
-  struct relays relays;
-  find_relays (relay, &relays);
-  if (relays.own == relay->keeps)
+  struct relays all[RELAY_DOMAINS];
+  size_t domains = find_relays (relay, all);
+  bool serves = is_relay (relay, &all[0]);
+  list_watchers (relay, all, domains);
+  if (serves == relay->keeps)
     return;
-  relay->keeps = relays.own;
+  relay->keeps = serves;
   log_event (kernel_log (relay->base.kernel), LOG_NOTICE, "relay",
              LOG_U ("serves", relay->keeps),
-             LOG_U ("domain_hosts", relays.domain_hosts));
+             LOG_U ("domain_hosts", all[0].domain_hosts));
   if (relay->keeps)
     {
       mirror_list_again (relay->mirror);
@@ -460,6 +513,7 @@
   while (relay->questions != NULL)
     end_question (relay->questions);
   forget_all (relay);
+  free (relay->watchers);
   free (relay);
 }
 
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -19,6 +19,7 @@
 /* Hosts of a failure domain that others may follow, and how many it must
    have for that: below, the calls saved are not worth the step between.  */
 #define RELAY_HOSTS 2
+#define RELAY_DOMAINS 32
 #define RELAY_DOMAIN_HOSTS 12
 
 /* How long a relay holds a question while nothing is newer; a host must learn
@@ -48,6 +49,11 @@
 /* The host that this one follows, or NULL: it follows the store.  */
 const struct other_host *relay_source (const struct relay *relay);
 
+/* The other hosts that follow the store themselves.  Valid until the hosts
+   change.  */
+const struct other_host *const *relay_watchers (const struct relay *relay,
+                                                size_t *count);
+
 /* The store refuses this host's calls, or takes them again: a watch that waits
    tells nothing of that.  */
 void relay_store_refuses (struct relay *relay, bool refuses);
--- /dev/null
+++ b/src/proxy/revisions.c
@@ -0,0 +1,103 @@
+#include "proxy/revisions.h"
+
+#include <stdlib.h>
+
+#include "kernel/mem.h"
+#include "proxy/hosts.h"
+#include "proxy/mirror.h"
+#include "proxy/relay.h"
+
+struct revisions
+{
+  struct module base;
+  struct hosts *hosts;
+  struct mirror *mirror;
+  struct relay *relay;
+  uint64_t told; /* the newest */
+  clk_ms until_ms;
+  struct ktimer tell;
+};
+
+static void
+tell_host (struct revisions *revisions, const struct other_host *host)
+{
+  peer_body body = { .kind = PEER_KIND_HEARTBEAT };
+  body.peer_body_u.heartbeat.revision = mirror_revision (revisions->mirror);
+  /* Told again soon, whatever comes of it.  */
+  hosts_call (revisions->hosts, &host->address, &body, REVISIONS_CALL_MS, NULL,
+              NULL);
+}
+
+static void
+on_tell (void *arg)
+{
+  struct revisions *revisions = arg;
+  struct kernel *kernel = revisions->base.kernel;
+  clk_ms now_ms = kernel_now (kernel);
+  size_t count;
+  const struct other_host *const *watchers
+      = relay_watchers (revisions->relay, &count);
+  for (size_t i = 0; count > 0 && i < REVISIONS_FANOUT; i++)
+    tell_host (revisions, watchers[rng_below (kernel_rng (kernel), count)]);
+  if (now_ms < revisions->until_ms)
+    kernel_timer_set (kernel, &revisions->tell, now_ms + REVISIONS_TELL_MS);
+}
+
+static void
+on_taken (void *arg)
+{
+  struct revisions *revisions = arg;
+  struct kernel *kernel = revisions->base.kernel;
+  uint64_t revision = mirror_revision (revisions->mirror);
+  if (revision <= revisions->told || mirror_follows (revisions->mirror))
+    return;
+  revisions->told = revision;
+  revisions->until_ms = kernel_now (kernel) + REVISIONS_TELL_FOR_MS;
+  if (revisions->tell.slot == 0)
+    kernel_timer_set (kernel, &revisions->tell, kernel_now (kernel));
+}
+
+static void
+on_heartbeat (void *arg, uint64_t call, const peer_message *message)
+{
+  struct revisions *revisions = arg;
+  mirror_heard (revisions->mirror,
+                message->body.peer_body_u.heartbeat.revision);
+  hosts_reply (revisions->hosts, call, &(peer_body){ .kind = PEER_KIND_NONE });
+}
+
+static void
+revisions_start (struct module *module)
+{
+  struct revisions *revisions = (struct revisions *)module;
+  struct kernel *kernel = module->kernel;
+  struct mirror_events events
+      = { .prefix = "", .taken = on_taken, .arg = revisions };
+  revisions->hosts = (struct hosts *)kernel_find (kernel, "hosts");
+  revisions->mirror = (struct mirror *)kernel_find (kernel, "mirror");
+  revisions->relay = (struct relay *)kernel_find (kernel, "relay");
+  mirror_subscribe (revisions->mirror, &events);
+  hosts_handle (revisions->hosts, PEER_KIND_HEARTBEAT, on_heartbeat,
+                revisions);
+}
+
+static void
+revisions_free (struct module *module)
+{
+  struct revisions *revisions = (struct revisions *)module;
+  kernel_timer_cancel (module->kernel, &revisions->tell);
+  free (revisions);
+}
+
+static const struct module_ops revisions_ops
+    = { .start = revisions_start, .free = revisions_free };
+
+struct module *
+revisions_new (void)
+{
+  struct revisions *revisions = mem_zalloc (sizeof *revisions);
+  revisions->base.ops = &revisions_ops;
+  revisions->base.name = "revisions";
+  revisions->tell = (struct ktimer){ .fire = on_tell, .arg = revisions };
+  return &revisions->base;
+}
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -22,6 +22,7 @@
 #include "proxy/placement.h"
 #include "proxy/promoter.h"
 #include "proxy/relay.h"
+#include "proxy/revisions.h"
 #include "proxy/roster.h"
 #include "proxy/witness.h"
 
@@ -119,6 +120,8 @@
 void fleet_store_down (struct fleet *fleet, bool down);
 /* Forgets the watches that wait: they are answered by nothing.  */
 void fleet_store_drop_watches (struct fleet *fleet);
+/* The same for the watch of one host.  */
+void fleet_store_drop_watch (struct fleet_host *host);
 /* Forgets the store's history, so that watches get PLATFORM_COMPACTED.  */
 void fleet_store_compact (struct fleet *fleet);
 /* Calls made to the store so far.  */
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -533,16 +533,25 @@
 }
 
 void
-fleet_store_drop_watches (struct fleet *fleet)
+fleet_store_drop_watch (struct fleet_host *host)
 {
   struct store_call *call;
-  DL_FOREACH (fleet->store->list, call)
+  DL_FOREACH (host->fleet->store->list, call)
   {
-    call->lost |= call->waiting;
+    if (call->host != host || !call->waiting)
+      continue;
+    call->lost = true;
     call->waiting = false;
   }
 }
 
+void
+fleet_store_drop_watches (struct fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_store_drop_watch (&fleet->hosts[i]);
+}
+
 void
 fleet_store_compact (struct fleet *fleet)
 {
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -181,6 +181,7 @@
   kernel_register (host->kernel, groups_module (host->groups));
   kernel_register (host->kernel, witness_module (witness_new ()));
   kernel_register (host->kernel, relay_module (relay_new ()));
+  kernel_register (host->kernel, revisions_new ());
   kernel_register (host->kernel, roster_module (host->roster));
   kernel_register (host->kernel, promoter_module (host->promoter));
   kernel_register (host->kernel, forwarder_module (forwarder_new ()));
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -558,6 +558,18 @@
     }
 }
 
+/* One that began while the store forgot its history may wait without end.  */
+UNIT_TEST (test_a_watch_that_hears_nothing_is_begun_anew_when_others_tell)
+{
+  size_t count;
+  fleet_run (fleet, 3000); /* all watch */
+  fleet_store_drop_watch (fleet_host (fleet, 2));
+  fleet_host_kill (fleet_host (fleet, 5));
+  fleet_run (fleet, ROSTER_HOST_LEASE_MS + 1500);
+  hosts_list (fleet_host (fleet, 2)->others, &count);
+  ck_assert_uint_eq (count, 4);
+}
+
 UNIT_TEST (test_entries_that_lapsed_in_an_outage_prove_nothing_at_once)
 {
   struct fleet_caller *caller
