--- a/Makefile
+++ b/Makefile
@@ -143,6 +143,12 @@
 	$(MAKE) BUILD=$(BUILD)/mutants MUTANTS=1 $(BUILD)/mutants/fuzz_core
 	@sh tests/fuzz/run_mutants.sh $(BUILD)/mutants/fuzz_core $(LIST)
 
+# The same for the proxy on the users' platform.
+.PHONY: mutants-fleet
+mutants-fleet:
+	$(MAKE) BUILD=$(BUILD)/mutants MUTANTS=1 $(BUILD)/mutants/test_fleet
+	@sh tests/fleet/run_mutants.sh $(BUILD)/mutants/test_fleet tests/fleet/mutants.txt
+
 .PHONY: generate
 generate:
 	cd src/port && rpcgen -C -h peer.x > peer.h && rpcgen -C -c peer.x > peer_xdr.c
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -9,6 +9,7 @@
 #include <utlist.h>
 
 #include "kernel/mem.h"
+#include "kernel/mutant.h"
 
 void
 conn_set_phase (struct backend_conn *conn, enum conn_phase phase)
@@ -84,7 +85,8 @@
 static bool
 conn_clean (const struct backend_conn *conn)
 {
-  return conn->expected_count == 0 && conn->state == TX_IDLE;
+  return conn->expected_count == 0
+         && (conn->state == TX_IDLE || MUTANT (reuse_open_transaction));
 }
 
 /* Makes CONN idle, or ends the transaction that is open on it.  */
@@ -272,7 +274,7 @@
   char name[VALUE_NAME_BYTES + 2];
   uint32_t before = conn->expected_count;
   bool in_transaction = conn->state != TX_IDLE;
-  if (conn->values_hash != values->hash)
+  if (conn->values_hash != values->hash && !MUTANT (skip_values))
     {
       if (conn->values_hash != 0 && !in_transaction)
         send_reset (conn);
--- a/src/proxy/caller_remote.c
+++ b/src/proxy/caller_remote.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "kernel/mutant.h"
 #include "kernel/text.h"
 
 /* The host answers before the statement's own limit, so that its answer,
@@ -203,7 +204,7 @@
 static void
 outcome_unknown (struct caller *caller, enum code code)
 {
-  if (caller_is_repeatable (caller))
+  if (caller_is_repeatable (caller) || MUTANT (forward_lost_write_again))
     {
       caller_remote_stop (caller);
       caller_retry (caller, CODE_LOST);
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "kernel/mutant.h"
 #include "kernel/text.h"
 
 static void dispatch (struct caller *caller);
@@ -117,6 +118,8 @@
     code = CODE_ABORTED;
   else if (!run->writes && run->kind != STMT_COMMIT)
     code = CODE_TIMEOUT;
+  if (MUTANT (refuse_unknown))
+    code = CODE_BUSY;
   caller_fail (caller, code, why);
 }
 
@@ -303,7 +306,8 @@
     not_before_ms = caller->opened_ms;
   if (!samples_floor (group_samples (group), not_before_ms, &run->floor))
     return false;
-  if (position_compare (caller->own, run->floor) > 0)
+  if (position_compare (caller->own, run->floor) > 0
+      && !MUTANT (forget_own_commit))
     run->floor = caller->own;
   run->has_floor = true;
   return true;
@@ -402,7 +406,8 @@
       statement.rest = run->rest;
       statement.text = NULL;
     }
-  bool use_floor = run->has_floor && !in_transaction (caller);
+  bool use_floor = run->has_floor && !in_transaction (caller)
+                   && !MUTANT (ignore_position);
   run->stage = RUN_SENT;
   run->sent_ms = caller_now (caller);
   note_sent (caller);
@@ -661,7 +666,8 @@
         caller_fail (caller, CODE_ABORTED, "connection lost");
       return;
     }
-  if (run->stage == RUN_SENT && caller_is_repeatable (caller))
+  if (run->stage == RUN_SENT
+      && (caller_is_repeatable (caller) || MUTANT (repeat_lost_write)))
     caller_retry (caller, CODE_LOST);
   else if (run->stage == RUN_SENT)
     caller_fail_unknown (caller, CODE_INDOUBT, "connection lost");
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -236,7 +236,12 @@
   forget_instance (groups, entry->id, group);
   struct member_instance *instance = find_instance (group, entry->id);
   if (instance == NULL)
-    add_instance (group, entry);
+    {
+      /* Before it had instances it could have no primary.  */
+      if (group->count == 0 && group->leader == NULL)
+        group->leaderless_ms = group_now (group);
+      add_instance (group, entry);
+    }
   else
     {
       instance->gone_ms = CLK_NEVER;
--- a/src/proxy/group_proof.c
+++ b/src/proxy/group_proof.c
@@ -8,6 +8,8 @@
 
 #include "proxy/group_impl.h"
 
+#include "kernel/mutant.h"
+
 /* Until an instance that did not tell its state is asked again.  */
 #define ASK_LIMIT_MS 60
 
@@ -87,6 +89,8 @@
 group_covers (const struct group *group, const struct backend *backend,
               struct position position)
 {
+  if (MUTANT (trust_new_primary))
+    return true;
   return group->covering == backend
          && position_compare (position, group->covers) >= 0;
 }
--- a/src/proxy/guests.c
+++ b/src/proxy/guests.c
@@ -6,6 +6,7 @@
 #include <utlist.h>
 
 #include "kernel/mem.h"
+#include "kernel/mutant.h"
 #include "kernel/text.h"
 #include "proxy/caller_impl.h"
 #include "proxy/hosts.h"
@@ -251,7 +252,8 @@
       go_on (guest, call, request);
       return;
     }
-  if (request->in_transaction && !request->begins)
+  if (request->in_transaction && !request->begins
+      && !MUTANT (run_unknown_transaction))
     {
       reply_unknown (guests, call, request->kind == STMT_ROLLBACK);
       return;
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -485,7 +485,8 @@
 {
   struct backend *leader = group_leader (group);
   clk_ms now_ms = kernel_now (promoter->base.kernel);
-  if (!group_connected (group))
+  struct backend *instances[GROUP_INSTANCES];
+  if (!group_connected (group) || group_instances (group, instances) == 0)
     return NULL;
   if (leader != NULL)
     return backend_usable (leader) ? NULL : backend_entry (leader)->id;
--- a/src/proxy/samples.c
+++ b/src/proxy/samples.c
@@ -1,5 +1,6 @@
 #include "proxy/samples.h"
 
+#include "kernel/mutant.h"
 #include "proxy/statement.h"
 
 static const struct sample *
@@ -39,7 +40,9 @@
 samples_floor (const struct samples *samples, clk_ms not_before_ms,
                struct position *position)
 {
-  if (samples->count == 0 || newest (samples)->asked_ms < not_before_ms)
+  if (samples->count == 0
+      || (newest (samples)->asked_ms < not_before_ms
+          && !MUTANT (ignore_sample_age)))
     return false;
   const struct sample *found = newest (samples);
   for (size_t i = 1; i < samples->count; i++)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -71,6 +71,7 @@
   char name[NAME_BYTES];
   char zone[NAME_BYTES];
   bool running;
+  uint64_t life; /* rises with each start */
   struct kernel *kernel;
   struct rng rng;
   struct catalog *catalog;
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -588,7 +588,7 @@
   uint64_t token;
   promote_done done;
   void *arg;
-  struct kernel *kernel;
+  uint64_t life; /* of the host */
 };
 
 static void
@@ -633,7 +633,7 @@
   struct order *order = arg;
   struct fleet *fleet = order->fleet;
   bool fenced = order->token < fleet->token;
-  bool alive = order->host->running && order->host->kernel == order->kernel;
+  bool alive = order->host->running && order->host->life == order->life;
   if (!fenced)
     fleet->token = order->token;
   if (fenced || fleet->instances[order->instance].dark)
@@ -664,7 +664,7 @@
                            .token = token,
                            .done = done,
                            .arg = arg,
-                           .kernel = host->kernel };
+                           .life = host->life };
   fleet_later (host->fleet, 5, order_arrived, order);
 }
 
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -75,7 +75,7 @@
 struct fleet_caller
 {
   struct fleet_host *host;
-  struct kernel *kernel; /* of the host when the session began */
+  uint64_t life; /* of the host when the session began */
   struct caller *caller;
   uint64_t session;
   char database[NAME_BYTES];
@@ -403,7 +403,7 @@
   struct fleet_caller *caller = mem_zalloc (sizeof *caller);
   struct caller_sink sink = { .answer = on_answer, .arg = caller };
   caller->host = host;
-  caller->kernel = host->kernel;
+  caller->life = host->life;
   caller->session = ++oracle->next_session;
   snprintf (caller->database, NAME_BYTES, "%s", database);
   caller->caller = caller_open (host->callers, database, &sink);
@@ -417,7 +417,7 @@
   struct fleet_oracle *oracle = caller->host->fleet->oracle;
   struct asked *asked, *next;
   /* A host that was killed has closed the session itself.  */
-  if (caller->host->running && caller->host->kernel == caller->kernel)
+  if (caller->host->running && caller->host->life == caller->life)
     caller_close (caller->caller);
   HASH_ITER (hh, oracle->asked, asked, next)
   if (asked->caller == caller)
--- a/tests/fleet/fleet_peers.c
+++ b/tests/fleet/fleet_peers.c
@@ -20,7 +20,6 @@
   struct fleet *fleet;
   struct fleet_host *from; /* NULL: it has ended or given up */
   struct fleet_host *to;
-  struct kernel *to_kernel; /* that got it */
   peer_done done;
   void *arg;
   bool delivered;
@@ -98,7 +97,6 @@
       && rpc_body_decode (call->body.data, call->body.size_bytes, &message))
     {
       call->delivered = true;
-      call->to_kernel = to->kernel;
       call->steps++; /* until it is answered */
       to->peer_handler (to->peer_arg, (uint64_t)(uintptr_t)call, &message);
       xdr_free ((xdrproc_t)xdr_peer_message, &message);
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -189,6 +189,7 @@
   kernel_register (host->kernel, guests_module (host->guests));
   kernel_register (host->kernel, mirror_module (mirror_new (&host->store)));
   host->running = true;
+  host->life++;
   kernel_start (host->kernel);
   set_config (host);
   publish_to (host);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1,6 +1,7 @@
 /* Seeded schedules of faults against the real modules of the proxy, with an
    oracle of the promises.  FLEET_SEEDS sets how many run, FLEET_SEED one.  */
 
+#include "kernel/mutant.h"
 #include "tests/fleet/fleet.h"
 #include "unit.h"
 
@@ -25,6 +26,7 @@
   size_t host_of[CALLERS];
   int left[CALLERS]; /* statements of the transaction */
   size_t served;
+  bool restarts; /* killed hosts start again at once */
 };
 
 static uint64_t
@@ -120,9 +122,10 @@
 }
 
 static void
-kill_host (struct schedule *s)
+kill_host (struct schedule *s, struct fleet_host *killed)
 {
-  size_t h = below (s, s->fleet->host_count);
+  size_t h = s->restarts ? (size_t)(killed - s->fleet->hosts)
+                         : below (s, s->fleet->host_count);
   for (size_t i = 0; i < CALLERS; i++)
     if (s->callers[i] != NULL && s->host_of[i] == h)
       close_caller (s, i);
@@ -181,10 +184,12 @@
       host->store_cut = !host->store_cut;
       break;
     case 3:
-      if (!host->running)
-        fleet_host_start (host);
+      if (host->running)
+        kill_host (s, host);
       else
-        kill_host (s);
+        fleet_host_start (host);
+      if (s->restarts && !host->running)
+        fleet_host_start (host);
       break;
     case 4:
       host->cut[below (s, FLEET_INSTANCES)] ^= true;
@@ -244,9 +249,9 @@
 }
 
 static void
-run_schedule (uint64_t seed, struct fleet *fleet)
+run_schedule (uint64_t seed, struct fleet *fleet, bool restarts)
 {
-  struct schedule s = { .fleet = fleet };
+  struct schedule s = { .fleet = fleet, .restarts = restarts };
   rng_init (&s.rng, seed + 1000000);
   fleet_run (s.fleet, 1500);
   for (int step = 0; step < STEPS && fleet_broken (s.fleet) == NULL; step++)
@@ -277,12 +282,13 @@
 UNIT_PLAIN_LOOP (test_schedules_that_failed_once_pass, 0,
                  (int)(sizeof regressions / sizeof regressions[0]))
 {
-  run_schedule (regressions[_i], fleet_new (regressions[_i], HOSTS));
+  run_schedule (regressions[_i], fleet_new (regressions[_i], HOSTS), false);
 }
 
 /* Runs the seeds that the environment asks for, or COUNT.  */
 static void
-run_schedules (uint64_t count, struct fleet *(*new_fleet) (uint64_t seed))
+run_schedules (uint64_t count, struct fleet *(*new_fleet) (uint64_t seed),
+               bool restarts)
 {
   const char *one = getenv ("FLEET_SEED");
   const char *many = getenv ("FLEET_SEEDS");
@@ -291,7 +297,7 @@
                   : many != NULL ? strtoull (many, NULL, 10)
                                  : count;
   for (uint64_t seed = first; seed <= last; seed++)
-    run_schedule (seed, new_fleet (seed));
+    run_schedule (seed, new_fleet (seed), restarts);
 }
 
 static struct fleet *
@@ -308,12 +314,23 @@
 
 UNIT_PLAIN (test_no_promise_is_broken_under_any_schedule_of_faults)
 {
-  run_schedules (SEEDS, usual_fleet);
+  run_schedules (SEEDS, usual_fleet, false);
 }
 
 UNIT_PLAIN (test_no_promise_is_broken_where_some_hosts_forward)
 {
-  run_schedules (SCARCE_SEEDS, scarce_fleet);
+  run_schedules (SCARCE_SEEDS, scarce_fleet, true);
+}
+
+#ifdef MUTANTS
+static int
+select_mutant (void)
+{
+  mutant_active = getenv ("FLEET_MUTANT");
+  return 0;
 }
+#else
+#define select_mutant NULL
+#endif
 
-UNIT_MAIN ("fleet", .plain_timeout_s = 3600)
+UNIT_MAIN ("fleet", .init = select_mutant, .plain_timeout_s = 3600)
