--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -117,6 +117,19 @@
 
 bool caller_needs_leader (const struct caller *caller);
 bool caller_is_repeatable (const struct caller *caller);
+
+/* caller_wait.c */
+void caller_drop_conn (struct caller *caller);
+void caller_set_timer (struct caller *caller, struct ktimer *timer,
+                       clk_ms span_ms);
+/* The code for a statement that did not run and will not.  */
+enum code caller_refusal (const struct caller *caller);
+/* Waits for SPAN_MS, then tries again.  */
+void caller_wait (struct caller *caller, clk_ms span_ms);
+/* Joins those that wait for a slot or a connection.  Returns false if the
+   statement would not be served in time: then it has been refused.
+   Transactions that have run already wait in any case.  */
+bool caller_queue_up (struct caller *caller);
 /* Goes on after an attempt that did not run, or may be repeated.  */
 void caller_retry (struct caller *caller, enum code code);
 /* Waits for a change of the group, or WAIT_MS, for a bounded time.  */
@@ -151,6 +164,24 @@
 void caller_finish_code (struct caller *caller, enum code code,
                          const char *text);
 
+static inline struct kernel *
+caller_kernel (const struct caller *caller)
+{
+  return caller->callers->base.kernel;
+}
+
+static inline struct group *
+caller_group (struct caller *caller)
+{
+  return groups_find (caller->callers->groups, caller->run.route.group);
+}
+
+static inline bool
+caller_in_transaction (const struct caller *caller)
+{
+  return caller->tx == TX_OPEN;
+}
+
 static inline struct caller_metrics *
 caller_metrics_of (const struct caller *caller)
 {
--- a/src/proxy/caller_remote.c
+++ b/src/proxy/caller_remote.c
@@ -25,12 +25,6 @@
 /* Hosts that one statement may be tried on.  */
 #define REMOTE_TRIES 3
 
-static bool
-in_transaction (const struct caller *caller)
-{
-  return caller->tx == TX_OPEN;
-}
-
 /* The primary that this host believes in and can't reach; NULL if there is
    none.  */
 static const char *
@@ -129,7 +123,7 @@
 static void
 take_success (struct caller *caller, const struct answer *answer)
 {
-  if (!in_transaction (caller))
+  if (!caller_in_transaction (caller))
     forget_number (caller);
   else if (caller->run.kind == STMT_COMMIT)
     {
@@ -147,7 +141,7 @@
 take_failure (struct caller *caller, const struct answer *answer)
 {
   struct run_request *run = &caller->run;
-  bool first = !in_transaction (caller)
+  bool first = !caller_in_transaction (caller)
                || (!caller->tx_ran && run->kind != STMT_COMMIT);
   forget_number (caller);
   if (first && code_not_run (answer->code) && !caller->overloaded
@@ -157,7 +151,7 @@
       caller_retry (caller, answer->code);
       return;
     }
-  if (in_transaction (caller))
+  if (caller_in_transaction (caller))
     caller->tx = run->kind == STMT_COMMIT ? TX_IDLE : TX_FAILED;
   caller_finish (caller, answer);
 }
@@ -191,7 +185,7 @@
 static void
 not_delivered (struct caller *caller)
 {
-  if (in_transaction (caller) && caller->tx_ran)
+  if (caller_in_transaction (caller) && caller->tx_ran)
     {
       caller_fail (caller, CODE_ABORTED, "the transaction's host is gone");
       return;
@@ -294,8 +288,8 @@
     values[i] = (peer_value){ .name = caller->values.items[i].name,
                               .text = caller->values.items[i].text };
   request->number = caller->remote.number;
-  request->in_transaction = in_transaction (caller);
-  request->begins = in_transaction (caller) && !caller->tx_ran;
+  request->in_transaction = caller_in_transaction (caller);
+  request->begins = caller_in_transaction (caller) && !caller->tx_ran;
   request->read_only = caller->tx_read_only;
   request->may_wait
       = !groups_serves (callers->groups, caller->run.route.group);
@@ -304,7 +298,7 @@
       = left_ms > REMOTE_MARGIN_MS ? left_ms - REMOTE_MARGIN_MS : 1;
   request->session_age_ms = now_ms - caller->opened_ms;
   request->transaction_age_ms
-      = in_transaction (caller) ? now_ms - caller->tx_begun_ms : 0;
+      = caller_in_transaction (caller) ? now_ms - caller->tx_begun_ms : 0;
   request->own_term = caller->own.term;
   request->own_lsn = caller->own.lsn;
   request->values.values_len = (u_int)caller->values.count;
@@ -313,7 +307,7 @@
   set_statement (caller, request);
   run->stage = RUN_SENT;
   run->sent_ms = now_ms;
-  if (run->writes && in_transaction (caller))
+  if (run->writes && caller_in_transaction (caller))
     caller->tx_wrote = true;
   forwarder_begin (callers->forwarder, caller->remote.host.name);
   caller->remote.call
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -18,24 +18,6 @@
                                    - offsetof (struct caller, user));
 }
 
-static struct kernel *
-kernel_of (const struct caller *caller)
-{
-  return caller->callers->base.kernel;
-}
-
-static struct group *
-group_of (struct caller *caller)
-{
-  return groups_find (caller->callers->groups, caller->run.route.group);
-}
-
-static bool
-in_transaction (const struct caller *caller)
-{
-  return caller->tx == TX_OPEN;
-}
-
 /* Whether the statement must run on the primary.  A transaction that may
    write can't be moved there later.  */
 bool
@@ -44,83 +26,27 @@
   const struct run_request *run = &caller->run;
   if (run->writes || run->route.kind == ROUTE_PRIMARY)
     return true;
-  return in_transaction (caller) && !caller->tx_read_only;
+  return caller_in_transaction (caller) && !caller->tx_read_only;
 }
 
 /* Whether the statement alone can be run again after it may have run.  */
 bool
 caller_is_repeatable (const struct caller *caller)
 {
-  return !in_transaction (caller) && !caller->run.writes;
-}
-
-static void
-drop_conn (struct caller *caller)
-{
-  struct backend_conn *conn = caller->conn;
-  caller->conn = NULL;
-  if (conn != NULL)
-    conn_give (conn);
-}
-
-static void
-set_timer (struct caller *caller, struct ktimer *timer, clk_ms span_ms)
-{
-  struct kernel *kernel = kernel_of (caller);
-  kernel_timer_set (kernel, timer, kernel_now (kernel) + span_ms);
+  return !caller_in_transaction (caller) && !caller->run.writes;
 }
 
 void
 caller_run_stop (struct caller *caller)
 {
-  struct kernel *kernel = kernel_of (caller);
+  struct kernel *kernel = caller_kernel (caller);
   backend_cancel (&caller->user);
   group_cancel (&caller->waiter);
   kernel_timer_cancel (kernel, &caller->again);
   kernel_timer_cancel (kernel, &caller->deadline);
   kernel_timer_cancel (kernel, &caller->slow);
   caller_remote_stop (caller);
-  drop_conn (caller);
-}
-
-void
-caller_fail (struct caller *caller, enum code code, const char *why)
-{
-  bool commit = caller->run.kind == STMT_COMMIT;
-  caller_metrics_refused (caller_metrics_of (caller), why);
-  backend_cancel (&caller->user);
-  /* The transaction is ended on its instance first.  */
-  caller_remote_stop (caller);
-  drop_conn (caller);
-  if (in_transaction (caller))
-    caller->tx = commit ? TX_IDLE : TX_FAILED;
-  caller_finish_code (caller, code, why);
-}
-
-/* The code for a statement that did not run and will not.  */
-static enum code
-refusal_code (const struct caller *caller)
-{
-  enum code code = caller->run.refusal;
-  if (in_transaction (caller) && caller->tx_ran)
-    return CODE_ABORTED;
-  return code_not_run (code) && code != CODE_NOSTMT ? code : CODE_BUSY;
-}
-
-/* Ends the statement whose outcome on the instance is not known.  */
-void
-caller_fail_unknown (struct caller *caller, enum code code, const char *why)
-{
-  const struct run_request *run = &caller->run;
-  /* Without COMMIT, or without a write, nothing can be kept.  */
-  if (in_transaction (caller)
-      && (run->kind != STMT_COMMIT || !caller->tx_wrote))
-    code = CODE_ABORTED;
-  else if (!run->writes && run->kind != STMT_COMMIT)
-    code = CODE_TIMEOUT;
-  if (MUTANT (refuse_unknown))
-    code = CODE_BUSY;
-  caller_fail (caller, code, why);
+  caller_drop_conn (caller);
 }
 
 static void
@@ -130,90 +56,7 @@
   if (caller->run.stage == RUN_SENT)
     caller_fail_unknown (caller, CODE_TIMEOUT, "no answer in time");
   else
-    caller_fail (caller, refusal_code (caller), "not run in time");
-}
-
-/* Joins those that wait for a slot or a connection.  Returns false if the
-   statement would not be served in time: then it has been refused.
-   Transactions that have run already wait in any case.  */
-static bool
-queue_up (struct caller *caller)
-{
-  struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
-  if (run->queue != NULL || group == NULL
-      || (in_transaction (caller) && caller->tx_ran))
-    return true;
-  struct admission *queue
-      = group_admission (group, caller_needs_leader (caller));
-  clk_ms now_ms = caller_now (caller);
-  clk_ms span_ms = run->route.target_ms != 0 ? run->route.target_ms
-                                             : run->route.timeout_ms;
-  clk_ms left_ms = run->arrived_ms + span_ms - now_ms;
-  if (admission_enter (queue, now_ms, left_ms))
-    {
-      run->queue = queue;
-      return true;
-    }
-  caller->overloaded = true;
-  caller_fail (caller, CODE_BUSY, "too many wait");
-  return false;
-}
-
-/* Waits for SPAN_MS or a change of the group.  */
-static void
-wait_and_retry (struct caller *caller, clk_ms span_ms)
-{
-  caller->run.stage = RUN_WAITING;
-  set_timer (caller, &caller->again, span_ms);
-}
-
-static void
-log_hold (struct caller *caller, const char *why)
-{
-  struct group *group = group_of (caller);
-  struct backend *leader = group != NULL ? group_leader (group) : NULL;
-  clk_ms sampled_ms = group != NULL ? samples_newest_ms (group_samples (group))
-                                    : CLK_LONG_AGO;
-  log_event (
-      kernel_log (kernel_of (caller)), LOG_INFO, "wait",
-      LOG_S ("id", caller->run.id), LOG_S ("why", why),
-      LOG_S ("group", caller->run.route.group),
-      LOG_S ("primary", leader != NULL ? backend_entry (leader)->id : NULL),
-      LOG_I ("sample_age_ms", sampled_ms != CLK_LONG_AGO
-                                  ? caller_now (caller) - sampled_ms
-                                  : -1));
-}
-
-void
-caller_hold (struct caller *caller, const char *why, clk_ms wait_ms)
-{
-  struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
-  clk_ms now_ms = caller_now (caller);
-  if (caller->guest && !caller->may_wait)
-    {
-      caller_fail (caller, refusal_code (caller), why);
-      return;
-    }
-  if (run->held_since_ms == CLK_NEVER)
-    {
-      run->held_since_ms = now_ms;
-      log_hold (caller, why);
-    }
-  clk_ms left_ms = run->held_since_ms + CALLER_HOLD_MS - now_ms;
-  if (groups_cut_off (caller->callers->groups))
-    {
-      caller_fail (caller, refusal_code (caller), "this host is cut off");
-      return;
-    }
-  if (left_ms <= 0 || group == NULL)
-    {
-      caller_fail (caller, refusal_code (caller), why);
-      return;
-    }
-  group_await (group, &caller->waiter);
-  wait_and_retry (caller, left_ms < wait_ms ? left_ms : wait_ms);
+    caller_fail (caller, caller_refusal (caller), "not run in time");
 }
 
 /* Waits for a primary or a sample.  */
@@ -223,29 +66,6 @@
   caller_hold (caller, why, CALLER_HOLD_MS);
 }
 
-/* Goes on after an attempt that certainly did not run.  */
-void
-caller_retry (struct caller *caller, enum code code)
-{
-  struct run_request *run = &caller->run;
-  struct kernel *kernel = kernel_of (caller);
-  run->refusal = code;
-  log_event (kernel_log (kernel), LOG_INFO, "retry", LOG_S ("id", run->id),
-             LOG_S ("code", code_name (code)),
-             LOG_S ("instance", run->instance),
-             LOG_U ("attempts", run->attempts),
-             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms));
-  if (run->attempts > 3 * CALLER_TRIES)
-    {
-      caller_fail (caller, refusal_code (caller), "refused too often");
-      return;
-    }
-  clk_ms wait_ms = 0;
-  if (code == CODE_BUSY && caller_needs_leader (caller))
-    wait_ms = CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts;
-  wait_and_retry (caller, wait_ms);
-}
-
 static void
 mark_tried (struct caller *caller, const struct backend *backend)
 {
@@ -271,17 +91,17 @@
   if (conn != NULL)
     run_on (caller, conn);
   else
-    queue_up (caller);
+    caller_queue_up (caller);
 }
 
 static void
 dispatch_to_leader (struct caller *caller)
 {
   struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   struct backend *leader = group != NULL ? group_leader (group) : NULL;
   run->has_floor = false;
-  run->proves = !in_transaction (caller) && !run->writes;
+  run->proves = !caller_in_transaction (caller) && !run->writes;
   if (leader == NULL || !backend_usable (leader))
     {
       hold (caller, "no primary");
@@ -297,7 +117,7 @@
 {
   struct run_request *run = &caller->run;
   clk_ms since_ms
-      = in_transaction (caller) ? caller->tx_begun_ms : run->arrived_ms;
+      = caller_in_transaction (caller) ? caller->tx_begun_ms : run->arrived_ms;
   clk_ms not_before_ms
       = since_ms - run->route.max_staleness_ms + CALLER_STALENESS_MARGIN_MS;
   /* Commits of the same caller's earlier connections, on any host, precede
@@ -329,7 +149,7 @@
 dispatch_read (struct caller *caller)
 {
   struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   run->proves = false;
   if (group == NULL)
     {
@@ -352,22 +172,23 @@
     }
   if (run->attempts >= 2 * CALLER_TRIES)
     {
-      caller_fail (caller, refusal_code (caller), "no instance can serve it");
+      caller_fail (caller, caller_refusal (caller),
+                   "no instance can serve it");
       return;
     }
-  if (!queue_up (caller))
+  if (!caller_queue_up (caller))
     return;
   run->attempts++;
   raise_floor (caller, group);
   group_await (group, &caller->waiter);
-  wait_and_retry (caller, CALLER_BUSY_WAIT_MS);
+  caller_wait (caller, CALLER_BUSY_WAIT_MS);
 }
 
 static void
 dispatch (struct caller *caller)
 {
   group_cancel (&caller->waiter);
-  kernel_timer_cancel (kernel_of (caller), &caller->again);
+  kernel_timer_cancel (caller_kernel (caller), &caller->again);
   if (caller->conn != NULL)
     run_on (caller, caller->conn);
   else if (caller_remote_wanted (caller))
@@ -383,7 +204,7 @@
 {
   const struct run_request *run = &caller->run;
   struct caller_metrics *metrics = caller_metrics_of (caller);
-  const struct group *group = group_of (caller);
+  const struct group *group = caller_group (caller);
   histogram_note (metrics->wait_ms[run->route.kind],
                   run->sent_ms - run->arrived_ms);
   if (run->has_floor && group != NULL)
@@ -406,12 +227,12 @@
       statement.rest = run->rest;
       statement.text = NULL;
     }
-  bool use_floor = run->has_floor && !in_transaction (caller)
+  bool use_floor = run->has_floor && !caller_in_transaction (caller)
                    && !MUTANT (ignore_position);
   run->stage = RUN_SENT;
   run->sent_ms = caller_now (caller);
   note_sent (caller);
-  if (run->writes && in_transaction (caller))
+  if (run->writes && caller_in_transaction (caller))
     caller->tx_wrote = true;
   conn_send (conn, STEP_MAIN, &statement, use_floor ? &run->floor : NULL);
   if (run->proves)
@@ -421,8 +242,8 @@
     {
       double usual_ms = backend_typical_ms (conn_backend (conn));
       clk_ms slow_ms = (clk_ms)(CALLER_SLOW_RATIO * usual_ms);
-      set_timer (caller, &caller->slow,
-                 slow_ms > CALLER_SLOW_MS ? slow_ms : CALLER_SLOW_MS);
+      caller_set_timer (caller, &caller->slow,
+                        slow_ms > CALLER_SLOW_MS ? slow_ms : CALLER_SLOW_MS);
     }
 }
 
@@ -443,7 +264,7 @@
 run_on (struct caller *caller, struct backend_conn *conn)
 {
   struct run_request *run = &caller->run;
-  bool opens = in_transaction (caller) && caller->conn == NULL;
+  bool opens = caller_in_transaction (caller) && caller->conn == NULL;
   caller->conn = conn;
   run->stage = RUN_SETTING_UP;
   conn_set_up (conn, &caller->values, run->prepared_kind, run->shape);
@@ -465,12 +286,12 @@
 set_up_refused (struct caller *caller, const struct answer *answer)
 {
   struct backend *backend = conn_backend (caller->conn);
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   enum code code = answer->code;
-  bool pinned = in_transaction (caller) && !caller->run.begins;
+  bool pinned = caller_in_transaction (caller) && !caller->run.begins;
   if (code == CODE_LAGGING && group != NULL)
     group_behind (group, backend);
-  drop_conn (caller);
+  caller_drop_conn (caller);
   if (pinned)
     caller_fail (caller, CODE_ABORTED, "the instance refused a value");
   else
@@ -483,14 +304,14 @@
        const struct answer *answer)
 {
   const struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   bool commits = run->kind == STMT_COMMIT
                      ? caller->tx_wrote
-                     : run->writes && !in_transaction (caller);
+                     : run->writes && !caller_in_transaction (caller);
   /* An instance that lost the lead refuses statements of a plain
      transaction, and writes.  */
   bool proves = commits || run->proves
-                || (in_transaction (caller) && !caller->tx_read_only
+                || (caller_in_transaction (caller) && !caller->tx_read_only
                     && run->kind != STMT_COMMIT);
   if (!answer->has_position || group == NULL)
     return;
@@ -504,16 +325,16 @@
 main_succeeded (struct caller *caller, struct backend *backend,
                 const struct answer *answer)
 {
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   learn (caller, backend, answer);
   if (group != NULL)
     admission_note_ran (group_admission (group, caller_needs_leader (caller)),
                         caller_now (caller));
-  if (!in_transaction (caller))
-    drop_conn (caller);
+  if (!caller_in_transaction (caller))
+    caller_drop_conn (caller);
   else if (caller->run.kind == STMT_COMMIT)
     {
-      drop_conn (caller);
+      caller_drop_conn (caller);
       caller->tx = TX_IDLE;
     }
   else
@@ -530,17 +351,17 @@
     {
       /* The transaction stands and the statement did not run.  */
       run->refusal = CODE_BUSY;
-      if (!queue_up (caller))
+      if (!caller_queue_up (caller))
         return;
       run->attempts++;
-      wait_and_retry (caller, CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts);
+      caller_wait (caller, CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts);
       return;
     }
   bool first = !caller->tx_ran && run->kind != STMT_COMMIT;
   if (first && code_not_run (answer->code))
     {
       caller->tx_wrote = false;
-      drop_conn (caller);
+      caller_drop_conn (caller);
       caller_retry (caller, answer->code);
       return;
     }
@@ -561,20 +382,21 @@
              const struct answer *answer)
 {
   struct run_request *run = &caller->run;
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   enum code code = answer->code;
   if (code == CODE_LAGGING && group != NULL)
     group_behind (group, backend);
   if (code == CODE_READONLY && group != NULL)
     group_refuted (group, backend);
-  if (in_transaction (caller))
+  if (caller_in_transaction (caller))
     {
       tx_failed (caller, answer);
       return;
     }
-  drop_conn (caller);
+  caller_drop_conn (caller);
   run->refusal = code;
-  if (code == CODE_BUSY && caller_needs_leader (caller) && !queue_up (caller))
+  if (code == CODE_BUSY && caller_needs_leader (caller)
+      && !caller_queue_up (caller))
     return;
   if (code_not_run (code)
       || (caller_is_repeatable (caller)
@@ -591,13 +413,13 @@
 leader_covers (struct caller *caller, struct backend *backend,
                const struct answer *answer)
 {
-  struct group *group = group_of (caller);
+  struct group *group = caller_group (caller);
   if (group == NULL || !answer->has_position)
     return true;
   group_proven (group, backend, answer->position, caller->run.begin_sent_ms);
   if (group_covers (group, backend, answer->position))
     return true;
-  drop_conn (caller);
+  caller_drop_conn (caller);
   caller_hold (caller, "the primary is catching up", CALLER_CATCH_UP_MS);
   return false;
 }
@@ -613,7 +435,7 @@
     return;
   if (step == STEP_MAIN)
     {
-      kernel_timer_cancel (kernel_of (caller), &caller->slow);
+      kernel_timer_cancel (caller_kernel (caller), &caller->slow);
       backend_note_latency (backend, caller_now (caller) - run->sent_ms,
                             answer->code == CODE_BUSY);
       if (answer->code == CODE_OK)
@@ -627,7 +449,7 @@
       /* A value set between the statements of a transaction.  */
       if (answer->code != CODE_OK)
         {
-          drop_conn (caller);
+          caller_drop_conn (caller);
           caller->tx = TX_FAILED;
           caller->tx_untold = true;
         }
@@ -651,11 +473,11 @@
   struct caller *caller = caller_of (user);
   struct run_request *run = &caller->run;
   caller->conn = NULL;
-  kernel_timer_cancel (kernel_of (caller), &caller->slow);
+  kernel_timer_cancel (caller_kernel (caller), &caller->slow);
   if (run->stage == RUN_NONE || run->stage == RUN_WAITING)
     {
       /* Between the statements of a transaction.  */
-      if (!in_transaction (caller))
+      if (!caller_in_transaction (caller))
         return;
       if (run->stage == RUN_NONE)
         {
@@ -671,7 +493,7 @@
     caller_retry (caller, CODE_LOST);
   else if (run->stage == RUN_SENT)
     caller_fail_unknown (caller, CODE_INDOUBT, "connection lost");
-  else if (in_transaction (caller) && caller->tx_ran)
+  else if (caller_in_transaction (caller) && caller->tx_ran)
     caller_fail (caller, CODE_ABORTED, "connection lost");
   else
     caller_retry (caller, CODE_BUSY);
@@ -692,7 +514,7 @@
   struct caller *caller
       = (struct caller *)(void *)((char *)waiter
                                   - offsetof (struct caller, waiter));
-  set_timer (caller, &caller->again, 0);
+  caller_set_timer (caller, &caller->again, 0);
 }
 
 /* Gives up waiting for a read and tries another instance.  */
@@ -702,7 +524,7 @@
   struct caller *caller = arg;
   if (caller->run.stage != RUN_SENT || caller_remote_slow (caller))
     return;
-  drop_conn (caller);
+  caller_drop_conn (caller);
   caller_retry (caller, CODE_TIMEOUT);
 }
 
@@ -721,7 +543,7 @@
 {
   struct run_request *run = &caller->run;
   const struct route *route
-      = in_transaction (caller) || caller->guest
+      = caller_in_transaction (caller) || caller->guest
             ? &caller->tx_route
             : catalog_route (caller->callers->catalog, caller->database);
   if (route == NULL)
@@ -730,6 +552,6 @@
       return;
     }
   run->route = *route;
-  set_timer (caller, &caller->deadline, route->timeout_ms);
+  caller_set_timer (caller, &caller->deadline, route->timeout_ms);
   dispatch (caller);
 }
--- /dev/null
+++ b/src/proxy/caller_wait.c
@@ -0,0 +1,167 @@
+/* How the statement of a session waits, is tried again, or is given up.  */
+
+#include "proxy/caller_impl.h"
+
+#include "kernel/mutant.h"
+
+void
+caller_drop_conn (struct caller *caller)
+{
+  struct backend_conn *conn = caller->conn;
+  caller->conn = NULL;
+  if (conn != NULL)
+    conn_give (conn);
+}
+
+void
+caller_set_timer (struct caller *caller, struct ktimer *timer, clk_ms span_ms)
+{
+  struct kernel *kernel = caller_kernel (caller);
+  kernel_timer_set (kernel, timer, kernel_now (kernel) + span_ms);
+}
+
+void
+caller_fail (struct caller *caller, enum code code, const char *why)
+{
+  bool commit = caller->run.kind == STMT_COMMIT;
+  caller_metrics_refused (caller_metrics_of (caller), why);
+  backend_cancel (&caller->user);
+  /* The transaction is ended on its instance first.  */
+  caller_remote_stop (caller);
+  caller_drop_conn (caller);
+  if (caller_in_transaction (caller))
+    caller->tx = commit ? TX_IDLE : TX_FAILED;
+  caller_finish_code (caller, code, why);
+}
+
+/* The code for a statement that did not run and will not.  */
+enum code
+caller_refusal (const struct caller *caller)
+{
+  enum code code = caller->run.refusal;
+  if (caller_in_transaction (caller) && caller->tx_ran)
+    return CODE_ABORTED;
+  return code_not_run (code) && code != CODE_NOSTMT ? code : CODE_BUSY;
+}
+
+/* Ends the statement whose outcome on the instance is not known.  */
+void
+caller_fail_unknown (struct caller *caller, enum code code, const char *why)
+{
+  const struct run_request *run = &caller->run;
+  /* Without COMMIT, or without a write, nothing can be kept.  */
+  if (caller_in_transaction (caller)
+      && (run->kind != STMT_COMMIT || !caller->tx_wrote))
+    code = CODE_ABORTED;
+  else if (!run->writes && run->kind != STMT_COMMIT)
+    code = CODE_TIMEOUT;
+  if (MUTANT (refuse_unknown))
+    code = CODE_BUSY;
+  caller_fail (caller, code, why);
+}
+
+/* Joins those that wait for a slot or a connection.  Returns false if the
+   statement would not be served in time: then it has been refused.
+   Transactions that have run already wait in any case.  */
+bool
+caller_queue_up (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = caller_group (caller);
+  if (run->queue != NULL || group == NULL
+      || (caller_in_transaction (caller) && caller->tx_ran))
+    return true;
+  struct admission *queue
+      = group_admission (group, caller_needs_leader (caller));
+  clk_ms now_ms = caller_now (caller);
+  clk_ms span_ms = run->route.target_ms != 0 ? run->route.target_ms
+                                             : run->route.timeout_ms;
+  clk_ms left_ms = run->arrived_ms + span_ms - now_ms;
+  if (admission_enter (queue, now_ms, left_ms))
+    {
+      run->queue = queue;
+      return true;
+    }
+  caller->overloaded = true;
+  caller_fail (caller, CODE_BUSY, "too many wait");
+  return false;
+}
+
+/* Waits for SPAN_MS or a change of the group.  */
+void
+caller_wait (struct caller *caller, clk_ms span_ms)
+{
+  caller->run.stage = RUN_WAITING;
+  caller_set_timer (caller, &caller->again, span_ms);
+}
+
+static void
+log_hold (struct caller *caller, const char *why)
+{
+  struct group *group = caller_group (caller);
+  struct backend *leader = group != NULL ? group_leader (group) : NULL;
+  clk_ms sampled_ms = group != NULL ? samples_newest_ms (group_samples (group))
+                                    : CLK_LONG_AGO;
+  log_event (
+      kernel_log (caller_kernel (caller)), LOG_INFO, "wait",
+      LOG_S ("id", caller->run.id), LOG_S ("why", why),
+      LOG_S ("group", caller->run.route.group),
+      LOG_S ("primary", leader != NULL ? backend_entry (leader)->id : NULL),
+      LOG_I ("sample_age_ms", sampled_ms != CLK_LONG_AGO
+                                  ? caller_now (caller) - sampled_ms
+                                  : -1));
+}
+
+void
+caller_hold (struct caller *caller, const char *why, clk_ms wait_ms)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = caller_group (caller);
+  clk_ms now_ms = caller_now (caller);
+  if (caller->guest && !caller->may_wait)
+    {
+      caller_fail (caller, caller_refusal (caller), why);
+      return;
+    }
+  if (run->held_since_ms == CLK_NEVER)
+    {
+      run->held_since_ms = now_ms;
+      log_hold (caller, why);
+    }
+  clk_ms left_ms = run->held_since_ms + CALLER_HOLD_MS - now_ms;
+  if (groups_cut_off (caller->callers->groups))
+    {
+      caller_fail (caller, caller_refusal (caller), "this host is cut off");
+      return;
+    }
+  if (left_ms <= 0 || group == NULL)
+    {
+      caller_fail (caller, caller_refusal (caller), why);
+      return;
+    }
+  group_await (group, &caller->waiter);
+  caller_wait (caller, left_ms < wait_ms ? left_ms : wait_ms);
+}
+
+/* Goes on after an attempt that certainly did not run.  */
+void
+caller_retry (struct caller *caller, enum code code)
+{
+  struct run_request *run = &caller->run;
+  struct kernel *kernel = caller_kernel (caller);
+  run->refusal = code;
+  log_event (kernel_log (kernel), LOG_INFO, "retry", LOG_S ("id", run->id),
+             LOG_S ("code", code_name (code)),
+             LOG_S ("instance", run->instance),
+             LOG_U ("attempts", run->attempts),
+             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms));
+  if (run->attempts > 3 * CALLER_TRIES)
+    {
+      caller_fail (caller, caller_refusal (caller), "refused too often");
+      return;
+    }
+  clk_ms wait_ms = 0;
+  if (code == CODE_BUSY && caller_needs_leader (caller))
+    wait_ms = CALLER_BUSY_WAIT_MS * (clk_ms)run->attempts;
+  caller_wait (caller, wait_ms);
+}
--- a/src/proxy/hosts.h
+++ b/src/proxy/hosts.h
@@ -10,7 +10,7 @@
 #include "kernel/kernel.h"
 #include "port/peer_port.h"
 
-#define HOSTS_HANDLERS 4
+#define HOSTS_HANDLERS 8
 
 struct other_host
 {
--- /dev/null
+++ b/tests/fleet/fleet_unit.h
@@ -0,0 +1,57 @@
+/* fleet_unit - what the unit tests of a fleet share: one fleet a test.  */
+
+#ifndef SAVORYWAY_FLEET_FLEET_UNIT_H
+#define SAVORYWAY_FLEET_FLEET_UNIT_H
+
+#include "tests/fleet/fleet.h"
+#include "tests/unit/unit.h"
+
+/* The first holder of the duty is found within 2.5 s, and draws the secret
+   between hosts.  */
+#define SETTLE_MS 5000
+#define ANSWER_MS 1500
+
+static struct fleet *fleet;
+
+static inline void
+set_up (void)
+{
+  fleet = fleet_new (7, FLEET_USUAL_HOSTS);
+  fleet_run (fleet, SETTLE_MS);
+}
+
+static inline void
+tear_down (void)
+{
+  ck_assert_msg (fleet_broken (fleet) == NULL, "%s", fleet_broken (fleet));
+  fleet_free (fleet);
+}
+
+static inline enum code
+run (struct fleet_caller *caller, enum stmt_kind kind, const char *name,
+     const char *rest)
+{
+  fleet_caller_send (caller, kind, name, rest);
+  for (int i = 0; i < ANSWER_MS && fleet_caller_waits (caller); i++)
+    fleet_run (fleet, 1);
+  ck_assert_msg (!fleet_caller_waits (caller), "no answer");
+  return fleet_caller_code (caller);
+}
+
+/* Writes until one succeeds; returns how long that took.  */
+static inline clk_ms
+write_gap_ms (struct fleet_host *host)
+{
+  clk_ms begin_ms = fleet_now (fleet);
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  while (run (caller, STMT_WRITE, "gap 1", NULL) != CODE_OK)
+    {
+      ck_assert_int_lt (fleet_now (fleet) - begin_ms, 30000);
+      fleet_run (fleet, 5);
+    }
+  fleet_caller_close (caller);
+  return fleet_now (fleet) - begin_ms;
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/test_forwarding.c
@@ -0,0 +1,322 @@
+/* Hosts that run statements through each other, relays of the store, and what
+   is refused at a burst.  */
+
+#include "proxy/admission.h"
+#include "tests/fleet/fleet_unit.h"
+
+UNIT_TEST (test_a_host_that_cannot_reach_the_primary_forwards_to_one_that_can)
+{
+  struct fleet_host *host = fleet_host (fleet, 4);
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  host->cut[0] = true;
+  fleet_run (fleet, 2000);
+  for (int i = 0; i < 10; i++)
+    {
+      ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+      ck_assert_int_lt (fleet_caller_took_ms (caller), 60);
+    }
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_COMMIT, NULL, NULL), CODE_OK);
+  ck_assert_uint_eq (fleet_promotions (fleet), 0);
+}
+
+#define SCARCE_HOSTS 12
+
+/* A fleet in which only some hosts have connections to the group.  */
+static void
+use_scarce_fleet (void)
+{
+  size_t serving = 0;
+  fleet_free (fleet);
+  fleet = fleet_new_scarce (7, SCARCE_HOSTS, 20);
+  fleet_run (fleet, SETTLE_MS);
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    serving += groups_serves (fleet_host (fleet, i)->groups, FLEET_GROUP);
+  ck_assert_uint_ge (serving, 2);
+  ck_assert_uint_le (serving, SCARCE_HOSTS / 2);
+}
+
+static void
+run_session (struct fleet_host *host)
+{
+  struct fleet_caller *a = fleet_caller_open (host, FLEET_DATABASE_SESSION);
+  ck_assert_int_eq (run (a, STMT_SET, "lang", "sw"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_PREPARE_READ, "s1", "qa"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_EXECUTE, "s1", "x"), CODE_OK);
+  for (int i = 0; i < 5; i++)
+    {
+      ck_assert_int_eq (run (a, STMT_WRITE, "a 1", NULL), CODE_OK);
+      ck_assert_int_eq (run (a, STMT_READ, "a", NULL), CODE_OK);
+    }
+  ck_assert_int_eq (run (a, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_EXECUTE, "s1", "y"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_SET, "lang", "en"), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_COMMIT, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (a, STMT_ROLLBACK, NULL, NULL), CODE_OK);
+  fleet_caller_close (a);
+}
+
+UNIT_TEST (test_hosts_without_connections_serve_whole_sessions)
+{
+  use_scarce_fleet ();
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    run_session (fleet_host (fleet, i));
+  fleet_run (fleet, 500);
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    ck_assert_uint_eq (guests_count (fleet_host (fleet, i)->guests), 0);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    ck_assert_uint_le (fleet_instance (fleet, i)->connections, 20);
+}
+
+UNIT_TEST (test_a_primary_is_replaced_where_some_hosts_have_connections)
+{
+  use_scarce_fleet ();
+  fleet_instance (fleet, 0)->dark = true;
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    {
+      clk_ms gap_ms = write_gap_ms (fleet_host (fleet, i));
+      ck_assert_int_le (gap_ms, 1000 + FLEET_PROMOTE_MS);
+    }
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+}
+
+/* A host that forwards the group's statements.  */
+static struct fleet_host *
+forwarding_host (void)
+{
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    if (!groups_serves (fleet_host (fleet, i)->groups, FLEET_GROUP))
+      return fleet_host (fleet, i);
+  ck_abort_msg ("every host serves the group");
+}
+
+UNIT_TEST (test_a_transaction_whose_forwarding_host_dies_leaves_nothing)
+{
+  use_scarce_fleet ();
+  struct fleet_caller *caller
+      = fleet_caller_open (forwarding_host (), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    if (guests_count (fleet_host (fleet, i)->guests) > 0)
+      fleet_host_kill (fleet_host (fleet, i));
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_ABORTED);
+  ck_assert_int_eq (run (caller, STMT_ROLLBACK, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+}
+
+static size_t
+count_guests (void)
+{
+  size_t guests = 0;
+  for (size_t i = 0; i < SCARCE_HOSTS; i++)
+    if (fleet_host (fleet, i)->running)
+      guests += guests_count (fleet_host (fleet, i)->guests);
+  return guests;
+}
+
+UNIT_TEST (test_a_forwarded_statement_ends_with_its_caller)
+{
+  use_scarce_fleet ();
+  struct fleet_caller *caller
+      = fleet_caller_open (forwarding_host (), FLEET_DATABASE_BOUNDED);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    fleet_instance (fleet, i)->busy_percent = 100;
+  fleet_caller_send (caller, STMT_READ, "a", NULL);
+  fleet_run (fleet, 10);
+  ck_assert_uint_eq (count_guests (), 1);
+  fleet_caller_close (caller);
+  fleet_run (fleet, 10);
+  ck_assert_uint_eq (count_guests (), 0);
+}
+
+UNIT_TEST (test_a_transaction_whose_entry_host_dies_is_ended)
+{
+  use_scarce_fleet ();
+  struct fleet_host *host = forwarding_host ();
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_host_kill (host);
+  fleet_run (fleet, 3000 + GUESTS_IDLE_MARGIN_MS + 100);
+  ck_assert_uint_eq (count_guests (), 0);
+}
+
+/* A burst: more come than the slots take.  */
+UNIT_PLAIN (test_statements_that_would_wait_beyond_their_target_are_refused)
+{
+  struct admission queue = { 0 };
+  size_t waiting = 1;
+  ck_assert (admission_enter (&queue, 1000, 500));
+  for (clk_ms now_ms = 1000; now_ms < 3000; now_ms += 20)
+    admission_note_ran (&queue, now_ms);
+  /* 50 run a second: 25 are served within 500 ms.  */
+  while (waiting < 100 && admission_enter (&queue, 3000, 500))
+    waiting++;
+  ck_assert_uint_ge (waiting, 24);
+  ck_assert_uint_le (waiting, 28);
+  ck_assert (admission_enter (&queue, 3000, 1000));
+  admission_leave (&queue);
+  for (size_t i = 0; i < 10; i++)
+    admission_leave (&queue);
+  ck_assert (admission_enter (&queue, 3000, 500));
+}
+
+UNIT_PLAIN (test_a_few_statements_wait_where_nothing_ran_yet)
+{
+  struct admission queue = { 0 };
+  for (size_t i = 0; i < ADMISSION_WAITING_FIRST; i++)
+    ck_assert (admission_enter (&queue, 1000, 500));
+  ck_assert (!admission_enter (&queue, 1000, 500));
+}
+
+UNIT_TEST (test_a_burst_on_the_primary_is_refused_at_once_or_served_in_time)
+{
+  struct fleet_caller *callers[200];
+  size_t served = 0, refused = 0, late = 0;
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *warm = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  for (int i = 0; i < 100; i++)
+    ck_assert_int_eq (run (warm, STMT_READ, "a", NULL), CODE_OK);
+  fleet_instance (fleet, 0)->busy_percent = 90;
+  for (int i = 0; i < 200; i++)
+    {
+      callers[i] = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      fleet_caller_send (callers[i], STMT_READ, "a", NULL);
+    }
+  fleet_run (fleet, 1100);
+  for (int i = 0; i < 200; i++)
+    {
+      ck_assert (!fleet_caller_waits (callers[i]));
+      served += fleet_caller_code (callers[i]) == CODE_OK;
+      refused += fleet_caller_code (callers[i]) == CODE_BUSY;
+      late += fleet_caller_took_ms (callers[i]) >= 900;
+    }
+  /* The rate of a primary that refuses most is not known at first.  */
+  ck_assert_uint_le (late, ADMISSION_WAITING_FIRST);
+  ck_assert_uint_gt (refused, 100);
+  ck_assert_uint_gt (served, 0);
+}
+
+/* A fleet whose failure domains are large enough for relays.  */
+static void
+use_large_fleet (void)
+{
+  fleet_free (fleet);
+  fleet = fleet_new (7, FLEET_HOSTS);
+  fleet_run (fleet, SETTLE_MS);
+}
+
+static size_t
+hosts_known (size_t index)
+{
+  size_t count;
+  hosts_list (fleet_host (fleet, index)->others, &count);
+  return count + 1;
+}
+
+static bool
+serves_others (size_t index)
+{
+  const struct fleet_host *host = fleet_host (fleet, index);
+  return host->running
+         && relay_serves ((struct relay *)kernel_find (host->kernel, "relay"));
+}
+
+UNIT_TEST (test_hosts_of_a_large_domain_follow_its_relays)
+{
+  size_t relays = 0;
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    relays += serves_others (i);
+  ck_assert_uint_eq (relays, (uintmax_t)RELAY_HOSTS * FLEET_ZONES);
+  uint64_t before = fleet_store_watches (fleet);
+  for (size_t i = 0; i < 10; i++)
+    {
+      struct fleet_host *host = fleet_host (fleet, 40);
+      fleet_host_kill (host);
+      fleet_run (fleet, 1000);
+      fleet_host_start (host);
+      fleet_run (fleet, 1000);
+    }
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    ck_assert_uint_eq (hosts_known (i), FLEET_HOSTS);
+  /* Each change could bring each host a watch.  */
+  ck_assert_uint_le (fleet_store_watches (fleet) - before,
+                     10 * FLEET_HOSTS / 2);
+}
+
+UNIT_TEST (test_hosts_learn_of_a_change_without_their_relays)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (serves_others (i) && i % 2 == 0)
+      fleet_host (fleet, i)->peers_cut = true;
+    else if (serves_others (i))
+      fleet_host (fleet, i)->store_cut = true;
+  fleet_host_kill (fleet_host (fleet, 41));
+  fleet_run (fleet, ROSTER_HOST_LEASE_MS + 3000);
+  for (size_t i = 0; i < FLEET_HOSTS - 1; i++)
+    if (!serves_others (i))
+      ck_assert_uint_lt (hosts_known (i), FLEET_HOSTS);
+}
+
+/* A watch that waits at a store that answers nothing any more tells nothing;
+   what the other hosts get must not depend on it.  */
+UNIT_TEST (test_a_relay_that_the_store_refuses_tells_its_followers)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->store_cut = serves_others (i);
+  fleet_run (fleet, 1500);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    {
+      const struct fleet_host *host = fleet_host (fleet, i);
+      const struct relay *relay
+          = (const struct relay *)kernel_find (host->kernel, "relay");
+      uint64_t token;
+      /* The holder of the duty follows the store itself.  */
+      if (!serves_others (i) && !roster_holds (host->roster, &token))
+        ck_assert_ptr_null (relay_source (relay));
+    }
+}
+
+UNIT_TEST (test_a_host_that_missed_what_a_relay_forgot_gets_all)
+{
+  use_large_fleet ();
+  fleet_store_compact (fleet);
+  fleet_run (fleet, 3000);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    ck_assert_uint_eq (hosts_known (i), FLEET_HOSTS);
+  fleet_instance (fleet, 0)->dark = true;
+  ck_assert_int_le (write_gap_ms (fleet_host (fleet, 1)),
+                    1000 + FLEET_PROMOTE_MS);
+}
+
+UNIT_PLAIN (test_hosts_take_as_many_groups_as_the_connections_allow)
+{
+  ck_assert_uint_eq (placement_width (72, 17, 3), 3);
+  ck_assert_uint_eq (placement_width (61, 13, 3), 3);
+  ck_assert_uint_eq (placement_width (76, 95, 8), 1);
+  ck_assert_uint_eq (placement_width (176, 124, 8), 2);
+  ck_assert_uint_eq (placement_width (1, 4100, 6600), 1);
+}
+
+UNIT_PLAIN (test_every_group_has_its_own_rank_at_a_host)
+{
+  static const char *const groups[] = { "a", "b", "c", "d", "e" };
+  size_t seen = 0;
+  for (size_t i = 0; i < 5; i++)
+    seen |= (size_t)1 << placement_rank ("host-7", groups[i], groups, 5);
+  ck_assert_uint_eq (seen, 31);
+}
+
+UNIT_MAIN ("forwarding", .setup = set_up, .teardown = tear_down,
+           .timeout_s = 60)
