--- a/src/cli/cmd_trace.c
+++ b/src/cli/cmd_trace.c
@@ -74,6 +74,16 @@
   read_field (last, "instance", instance, sizeof instance);
   read_field (last, "attempts", attempts, sizeof attempts);
   read_field (last, "spent_ms", spent, sizeof spent);
+  if (strcmp (event, "left") == 0)
+    {
+      char stage[32];
+      read_field (last, "stage", stage, sizeof stage);
+      printf (
+          "%s: the caller left after %s ms, while it was %s; last instance "
+          "%s\n",
+          id, spent, stage, instance[0] != '\0' ? instance : "none");
+      return;
+    }
   if (strcmp (event, "answer") != 0)
     {
       printf ("%s: no answer is logged; the last step was \"%s\"\n", id,
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -339,11 +339,33 @@
   return caller;
 }
 
+/* The caller has left, or its host gives the statement up: nobody is told.  */
+static void
+log_left (const struct caller *caller)
+{
+  static const char *const stages[]
+      = { [RUN_WAITING] = "waiting",
+          [RUN_CONNECTING] = "waiting for a connection",
+          [RUN_SETTING_UP] = "setting up",
+          [RUN_SENT] = "sent" };
+  const struct run_request *run = &caller->run;
+  struct kernel *kernel = caller->callers->base.kernel;
+  if (run->stage == RUN_NONE)
+    return;
+  log_event (kernel_log (kernel), LOG_INFO, "left", LOG_S ("id", run->id),
+             LOG_S ("database", caller->database),
+             LOG_S ("stage", stages[run->stage]),
+             LOG_S ("instance", run->instance),
+             LOG_U ("attempts", run->attempts),
+             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms));
+}
+
 void
 caller_close (struct caller *caller)
 {
   struct callers *callers = caller->callers;
   struct kernel *kernel = callers->base.kernel;
+  log_left (caller);
   caller_run_stop (caller);
   kernel_timer_cancel (kernel, &caller->idle);
   if (caller->run.queue != NULL)
