--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -476,7 +476,7 @@
       for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
         {
           hosts_list (fleet_host (fleet, i)->others, &count);
-          ck_assert_uint_ge (4 * (count + 1), 3 * FLEET_USUAL_HOSTS);
+          ck_assert_uint_ge (4 * (count + 1), (size_t)3 * FLEET_USUAL_HOSTS);
         }
     }
 }
