One test for a watch under way, for whom a report names and who has the duty

Read the change once more. mirror asked in four ways whether a watch waits, and on_expect logged watch_silent also while it listed or followed a relay, where it then did nothing; is_watching serves all. roster_host_reports wrote the half of report_matches again; caller_remote looked its group up twice, beside caller_group; each group was looked up twice in the placement at each tick; five tests searched for the holder of the duty.

No decision changes. Unit tests, schedules, format and lint of these files pass.

--- a/src/proxy/caller_remote.c
+++ b/src/proxy/caller_remote.c
@@ -28,8 +28,9 @@
 /* The primary that this host believes in and can't reach; NULL if there is
    none.  */
 static const char *
-unreached_leader (struct caller *caller, struct group *group)
+unreached_leader (struct caller *caller)
 {
+  struct group *group = caller_group (caller);
   struct backend *leader = group != NULL ? group_leader (group) : NULL;
   if (!caller_needs_leader (caller) || leader == NULL
       || backend_usable (leader))
@@ -41,11 +42,9 @@
 pick (struct caller *caller)
 {
   struct run_request *run = &caller->run;
-  struct group *group
-      = groups_find (caller->callers->groups, run->route.group);
   struct forwarder_query query
       = { .group = run->route.group,
-          .instance = unreached_leader (caller, group),
+          .instance = unreached_leader (caller),
           .tried = (const char (*)[NAME_BYTES])run->tried,
           .tried_count = run->tried_count };
   return forwarder_pick (caller->callers->forwarder, &query);
@@ -62,9 +61,8 @@
     return true;
   if (!groups_serves (callers->groups, run->route.group))
     return true;
-  struct group *group = groups_find (callers->groups, run->route.group);
-  return unreached_leader (caller, group) != NULL
-         && run->tried_count < REMOTE_TRIES && pick (caller) != NULL;
+  return unreached_leader (caller) != NULL && run->tried_count < REMOTE_TRIES
+         && pick (caller) != NULL;
 }
 
 static void
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -96,14 +96,18 @@
   group_wake (instance->group);
 }
 
+static const struct placed_group *
+placed_of (const struct group *group)
+{
+  return placement_find (group->groups->placement, group->settings.name);
+}
+
 /* Connections of an instance that this host may open.  The holder of the
    duty has to ask every instance.  */
 static uint32_t
-fair_share (const struct group *group)
+fair_share (const struct group *group, const struct placed_group *placed)
 {
-  struct groups *groups = group->groups;
-  const struct placed_group *placed
-      = placement_find (groups->placement, group->settings.name);
+  const struct groups *groups = group->groups;
   size_t hosts = placed->count + 1;
   size_t limit = group->settings.connections;
   if (!placed->served_here)
@@ -149,7 +153,7 @@
   instance->gone_ms = CLK_NEVER;
   options.arg = instance;
   instance->backend = backend_new (&options);
-  backend_set_share (instance->backend, fair_share (group));
+  backend_set_share (instance->backend, fair_share (group, placed_of (group)));
   group->instances[group->count++] = instance;
   backend_warm (instance->backend);
 }
@@ -187,9 +191,8 @@
 static void
 update_share (struct group *group)
 {
-  const struct placed_group *placed
-      = placement_find (group->groups->placement, group->settings.name);
-  uint32_t share = fair_share (group);
+  const struct placed_group *placed = placed_of (group);
+  uint32_t share = fair_share (group, placed);
   group->served = placed->served_here;
   group->connected = share > 0;
   for (size_t i = 0; i < group->count; i++)
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -33,6 +33,19 @@
 
 static void next_call (struct mirror *mirror);
 
+bool
+mirror_follows (const struct mirror *mirror)
+{
+  return mirror->source[0] != '\0';
+}
+
+/* Whether a watch of the store is under way.  */
+static bool
+is_watching (const struct mirror *mirror)
+{
+  return mirror->call != 0 && !mirror->listing && !mirror_follows (mirror);
+}
+
 static void
 set_reached (struct mirror *mirror, bool reached)
 {
@@ -289,7 +302,7 @@
 {
   if (mirror->call == 0)
     return;
-  if (mirror->source[0] != '\0')
+  if (mirror_follows (mirror))
     hosts_cancel (mirror->hosts, mirror->call);
   else
     mirror->port->ops->cancel (mirror->port, mirror->call);
@@ -309,7 +322,7 @@
 void
 mirror_watch_again (struct mirror *mirror)
 {
-  if (mirror->call == 0 || mirror->listing || mirror->source[0] != '\0')
+  if (!is_watching (mirror))
     return;
   drop_call (mirror);
   next_call (mirror);
@@ -319,7 +332,7 @@
 on_expect (void *arg)
 {
   struct mirror *mirror = arg;
-  if (mirror->revision >= mirror->expected || mirror->call == 0)
+  if (mirror->revision >= mirror->expected || !is_watching (mirror))
     return;
   log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_silent",
              LOG_U ("revision", mirror->revision),
@@ -342,8 +355,7 @@
 on_heard (void *arg)
 {
   struct mirror *mirror = arg;
-  if (mirror->revision >= mirror->heard || mirror->call == 0 || mirror->listing
-      || mirror_follows (mirror))
+  if (mirror->revision >= mirror->heard || !is_watching (mirror))
     return;
   log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_behind",
              LOG_U ("revision", mirror->revision),
@@ -364,12 +376,6 @@
                       kernel_now (kernel) + MIRROR_HEARD_MS);
 }
 
-bool
-mirror_follows (const struct mirror *mirror)
-{
-  return mirror->source[0] != '\0';
-}
-
 static void
 mirror_start (struct module *module)
 {
@@ -428,7 +434,7 @@
 {
   struct kernel *kernel = mirror->base.kernel;
   mirror->prompt = prompt;
-  if (prompt && mirror->source[0] != '\0')
+  if (prompt && mirror_follows (mirror))
     {
       drop_call (mirror);
       next_call (mirror);
--- a/src/proxy/roster_reports.c
+++ b/src/proxy/roster_reports.c
@@ -100,14 +100,21 @@
   ensure_report (roster, group);
 }
 
+/* Whether REPORT, "INSTANCE DOMAIN", is about INSTANCE.  */
+static bool
+report_names (const char *report, const char *instance)
+{
+  size_t length = strlen (instance);
+  return strncmp (report, instance, length) == 0 && report[length] == ' ';
+}
+
 /* Whether REPORT, "INSTANCE DOMAIN", is about INSTANCE, by a host of
    DOMAIN.  */
 static bool
 report_matches (const char *report, const char *instance, const char *domain)
 {
-  size_t length = strlen (instance);
-  return strncmp (report, instance, length) == 0 && report[length] == ' '
-         && strcmp (report + length + 1, domain) == 0;
+  return report_names (report, instance)
+         && strcmp (report + strlen (instance) + 1, domain) == 0;
 }
 
 /* Hosts of a failure domain that report an instance, in the store or
@@ -174,11 +181,9 @@
                      const char *instance, const char *host)
 {
   char name[KEY_BYTES];
-  size_t length = strlen (instance);
   snprintf (name, sizeof name, REPORTS_PREFIX "%s/%s", group, host);
   const struct roster_key *key = roster_find_key (roster, name);
-  if (key != NULL && strncmp (key->value, instance, length) == 0
-      && key->value[length] == ' ')
+  if (key != NULL && report_names (key->value, instance))
     return true;
   return witness_hears (roster->witness, group, instance, host);
 }
--- a/tests/fleet/fleet_unit.h
+++ b/tests/fleet/fleet_unit.h
@@ -38,6 +38,18 @@
   return fleet_caller_code (caller);
 }
 
+/* The host that has the duty to promote.  */
+static inline struct fleet_host *
+duty_holder (void)
+{
+  uint64_t token;
+  for (size_t i = 0; i < fleet->host_count; i++)
+    if (fleet_host (fleet, i)->running
+        && roster_holds (fleet_host (fleet, i)->roster, &token))
+      return fleet_host (fleet, i);
+  ck_abort_msg ("no host has the duty");
+}
+
 /* Writes until one succeeds; returns how long that took.  */
 static inline clk_ms
 write_gap_ms (struct fleet_host *host)
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -226,10 +226,7 @@
   fleet_instance (fleet, 2)->deaf = true;
   for (size_t i = 1; i < FLEET_USUAL_HOSTS; i++)
     fleet_host (fleet, i)->cut[0] = true;
-  uint64_t token;
-  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
-    if (roster_holds (fleet_host (fleet, i)->roster, &token))
-      fleet_host (fleet, i)->cut[0] = false;
+  duty_holder ()->cut[0] = false;
   for (int i = 0; i < 40; i++)
     {
       ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
@@ -268,12 +265,7 @@
    can't reach.  */
 UNIT_TEST (test_a_holder_that_knows_of_no_primary_alone_promotes_none)
 {
-  uint64_t token;
-  size_t holder = 0;
-  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
-    if (roster_holds (fleet_host (fleet, i)->roster, &token))
-      holder = i;
-  struct fleet_host *host = fleet_host (fleet, holder);
+  struct fleet_host *host = duty_holder ();
   host->cut[1] = true;
   host->store_cut = true;
   fleet_instance (fleet, 0)->leads = false;
@@ -306,12 +298,8 @@
 
 UNIT_TEST (test_a_token_that_the_platform_refused_is_not_used_again)
 {
-  uint64_t token = 0;
-  struct fleet_host *holder = NULL;
-  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
-    if (roster_holds (fleet_host (fleet, i)->roster, &token))
-      holder = fleet_host (fleet, i);
-  ck_assert_ptr_nonnull (holder);
+  uint64_t token;
+  struct fleet_host *holder = duty_holder ();
   fleet_store_down (fleet, true);
   fleet_run (fleet, 4000);
   ck_assert (roster_holds (holder->roster, &token));
@@ -376,9 +364,7 @@
   write_gap_ms (fleet_host (fleet, 1));
   fleet_instance (fleet, 0)->dark = false;
   first = fleet_token (fleet);
-  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
-    if (roster_holds (fleet_host (fleet, i)->roster, &token))
-      fleet_host_kill (fleet_host (fleet, i));
+  fleet_host_kill (duty_holder ());
   fleet_run (fleet, 3000);
   size_t holders = 0;
   for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
@@ -416,13 +402,10 @@
 UNIT_TEST (test_a_holder_that_the_store_refuses_alone_stops)
 {
   uint64_t token;
-  size_t holder = 0;
-  for (size_t i = 0; i < FLEET_USUAL_HOSTS; i++)
-    if (roster_holds (fleet_host (fleet, i)->roster, &token))
-      holder = i;
-  fleet_host (fleet, holder)->store_cut = true;
+  struct fleet_host *holder = duty_holder ();
+  holder->store_cut = true;
   fleet_run (fleet, ROSTER_DUTY_LEASE_MS + 100);
-  ck_assert (!roster_holds (fleet_host (fleet, holder)->roster, &token));
+  ck_assert (!roster_holds (holder->roster, &token));
 }
 
 UNIT_TEST (test_a_report_ends_with_the_process_that_made_it)
