Logs and metrics that tell who knew that an instance leaves

Change: replies of the store carry its era (header Store-Era), and the mirror logs store_restored when it rises. An entry keeps the time after which it was announced; sent_to_leaving and leaving_instance_ms report new work on such an instance. entry_older reports an entry that is ignored for its revision. No decision has changed.

--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -222,10 +222,10 @@
   struct kv_response response;
   struct evbuffer *body = evhttp_request_get_input_buffer (http);
   struct evkeyvalq *headers = evhttp_request_get_input_headers (http);
-  conn->consul->codec->parse (&response, call->kind, code,
-                              evhttp_find_header (headers, "X-Consul-Index"),
-                              (const char *)evbuffer_pullup (body, -1),
-                              evbuffer_get_length (body));
+  conn->consul->codec->parse (
+      &response, call->kind, code,
+      evhttp_find_header (headers, conn->consul->codec->header),
+      (const char *)evbuffer_pullup (body, -1), evbuffer_get_length (body));
   finish (call, &response.reply);
   kv_response_clear (&response);
 }
--- a/src/port/consul_request.c
+++ b/src/port/consul_request.c
@@ -142,5 +142,6 @@
     }
 }
 
-const struct kv_codec consul_codec
-    = { .build = consul_request_build, .parse = consul_response_parse };
+const struct kv_codec consul_codec = { .build = consul_request_build,
+                                       .parse = consul_response_parse,
+                                       .header = "X-Consul-Index" };
--- a/src/port/kv_codec.h
+++ b/src/port/kv_codec.h
@@ -63,10 +63,12 @@
      service, such as a key or value over its limit.  */
   bool (*build) (struct kv_request *request, const struct platform_call *call);
   /* Fills RESPONSE from the HTTP response to a call of KIND: status CODE,
-     INDEX from the header X-Consul-Index (NULL if absent) and BODY.  A
-     malformed body counts as no response.  */
+     value of the header HEADER (NULL if absent) and BODY.  A malformed body
+     counts as no response.  */
   void (*parse) (struct kv_response *response, enum platform_call_kind kind,
-                 int code, const char *index, const char *body, size_t length);
+                 int code, const char *header, const char *body,
+                 size_t length);
+  const char *header; /* name of the header that PARSE needs */
 };
 
 #endif
--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -89,6 +89,8 @@
 {
   enum platform_status status;
   uint64_t index;
+  uint64_t era; /* how often the service was restored from an older copy; 0 if
+                   not reported */
   const struct platform_item *items; /* valid during the call */
   size_t item_count;
   const struct platform_host *hosts;
--- a/src/proxy/caller_metrics.h
+++ b/src/proxy/caller_metrics.h
@@ -20,6 +20,7 @@
   struct histogram *answer_ms[CALLER_ROUTE_KINDS][CALLER_OUTCOMES];
   struct histogram *wait_ms[CALLER_ROUTE_KINDS]; /* until sent */
   struct histogram *sample_age_ms;               /* reads on replicas */
+  struct histogram *leaving_ms; /* since the instance announced to leave */
 };
 
 void caller_metrics_init (struct caller_metrics *self, struct metrics *metrics,
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -199,9 +199,32 @@
     dispatch_read (caller);
 }
 
+/* Returns whether the statement does not continue a transaction that has run
+   one already.  */
+static bool
+starts_work (const struct caller *caller)
+{
+  return !caller_in_transaction (caller) || !caller->tx_ran;
+}
+
+/* Records that new work is sent to an instance that has announced that it
+   leaves.  */
+static void
+note_leaving (struct caller *caller, const struct instance_entry *entry)
+{
+  const struct run_request *run = &caller->run;
+  clk_ms since_ms = run->sent_ms - entry->leaving_since_ms;
+  histogram_observe (caller_metrics_of (caller)->leaving_ms, since_ms);
+  log_event (kernel_log (caller_kernel (caller)), LOG_INFO, "sent_to_leaving",
+             LOG_S ("id", run->id), LOG_S ("instance", entry->id),
+             LOG_I ("since_ms", since_ms), LOG_U ("attempts", run->attempts));
+}
+
 static void
 note_sent (struct caller *caller)
 {
+  const struct instance_entry *entry
+      = backend_entry (conn_backend (caller->conn));
   const struct run_request *run = &caller->run;
   struct caller_metrics *metrics = caller_metrics_of (caller);
   const struct group *group = caller_group (caller);
@@ -211,6 +234,8 @@
     histogram_observe (metrics->sample_age_ms,
                        run->sent_ms
                            - samples_newest_ms (group_samples (group)));
+  if (entry->draining && starts_work (caller))
+    note_leaving (caller, entry);
 }
 
 static void
--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -142,6 +142,18 @@
          || a->born_ms != b->born_ms;
 }
 
+/* Replaces KNOWN by ENTRY, but keeps the time of an announcement that both
+   contain.  */
+static void
+update_entry (struct instance_entry *known, const struct instance_entry *entry)
+{
+  clk_ms since_ms = known->leaving_since_ms;
+  bool leaves = known->draining && known->born_ms == entry->born_ms;
+  *known = *entry;
+  if (leaves && since_ms < known->leaving_since_ms)
+    known->leaving_since_ms = since_ms;
+}
+
 void
 catalog_set_instance (struct catalog *catalog,
                       const struct instance_entry *entry)
@@ -162,10 +174,17 @@
   else
     {
       if (entry->revision < instance->entry.revision)
-        return;
+        {
+          log_event (kernel_log (kernel), LOG_NOTICE, "entry_older",
+                     LOG_S ("instance", entry->id),
+                     LOG_S ("state", entry->draining ? "draining" : "ready"),
+                     LOG_U ("revision", entry->revision),
+                     LOG_U ("known", instance->entry.revision));
+          return;
+        }
       changed = entry_differs (&instance->entry, entry)
                 || instance->absence.slot != 0;
-      instance->entry = *entry;
+      update_entry (&instance->entry, entry);
     }
   instance->listed = true;
   kernel_timer_cancel (kernel, &instance->absence);
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -74,6 +74,9 @@
   char zone[NAME_BYTES];
   uint32_t slots;
   bool draining;
+  /* If it is draining: the time after which it announced that, as far as this
+     host can tell.  */
+  clk_ms leaving_since_ms;
   bool is_primary;   /* the instance's own view of its role */
   uint64_t born_ms;  /* start time of the instance */
   uint64_t revision; /* of the store, at which the entry was written */
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -20,6 +20,10 @@
   bool listing;
   char *after;       /* last key of the previous page; NULL: first page */
   uint64_t revision; /* changes up to here are applied */
+  uint64_t era;      /* of the store's last reply */
+  clk_ms sent_ms;    /* of the call in flight */
+  clk_ms current_ms; /* the contents were current then */
+  clk_ms changed_after_ms;
   bool complete;
   bool store_reachable;
   uint32_t failures;
@@ -63,6 +67,33 @@
                                                 reachable);
 }
 
+/* Notes the era of a reply of the store.  */
+static void
+note_era (struct mirror *mirror, const struct platform_reply *reply)
+{
+  if (reply->era <= mirror->era)
+    return;
+  if (mirror->complete)
+    log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "store_restored",
+               LOG_U ("era", reply->era), LOG_U ("before", mirror->era),
+               LOG_U ("revision", mirror->revision),
+               LOG_U ("as_of", reply->index),
+               LOG_U ("changes", reply->item_count));
+  mirror->era = reply->era;
+}
+
+/* Determines the time after which the changes of a reply of the store were
+   made.  */
+static void
+date_changes (struct mirror *mirror)
+{
+  clk_ms now_ms = kernel_now (mirror->base.kernel);
+  mirror->changed_after_ms = mirror->current_ms;
+  if (!mirror->listing && now_ms - mirror->sent_ms >= MIRROR_DELIVERY_MS)
+    mirror->changed_after_ms = now_ms - MIRROR_DELIVERY_MS;
+  mirror->current_ms = now_ms;
+}
+
 static void
 retry_later (struct mirror *mirror)
 {
@@ -168,6 +199,7 @@
 {
   struct mirror *mirror = arg;
   mirror->call = 0;
+  note_era (mirror, reply);
   if (reply->status == PLATFORM_COMPACTED)
     {
       log_event (kernel_log (mirror->base.kernel), LOG_NOTICE,
@@ -187,6 +219,7 @@
     }
   mirror->failures = 0;
   set_store_reachable (mirror, true);
+  date_changes (mirror);
   bool has_changes = reply->item_count > 0;
   if (mirror->listing)
     {
@@ -242,10 +275,14 @@
   bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED;
   bool reachable = answered && reply->body.peer_body_u.followed.reached;
   mirror->call = 0;
+  mirror->changed_after_ms = mirror->current_ms - MIRROR_RELAY_LAG_MS;
   if (answered)
     apply_relay_reply (mirror, &reply->body.peer_body_u.followed);
   if (reachable)
-    set_store_reachable (mirror, true);
+    {
+      mirror->current_ms = kernel_now (mirror->base.kernel);
+      set_store_reachable (mirror, true);
+    }
   else
     relay_failed (mirror->relay, mirror->source);
   mirror->source[0] = '\0';
@@ -284,6 +321,7 @@
           .wait_index = mirror->revision,
           .wait_ms = mirror->listing ? 0 : MIRROR_WAIT_MS,
           .timeout_ms = MIRROR_CALL_TIMEOUT_MS };
+  mirror->sent_ms = kernel_now (mirror->base.kernel);
   if (follow_relay (mirror))
     return;
   /* After a failure a short watch shows early whether the store answers.  */
@@ -412,6 +450,7 @@
   mirror->base.ops = &mirror_ops;
   mirror->base.name = "mirror";
   mirror->port = port;
+  mirror->current_ms = CLK_LONG_AGO;
   mirror->next_call_timer.fire = on_next_call_timer;
   mirror->next_call_timer.arg = mirror;
   mirror->expect_timer
@@ -454,6 +493,12 @@
   return mirror->revision;
 }
 
+clk_ms
+mirror_changed_after_ms (const struct mirror *mirror)
+{
+  return mirror->changed_after_ms;
+}
+
 bool
 mirror_complete (const struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -32,6 +32,11 @@
    few relays.  */
 #define MIRROR_RELAY_WATCH_DELAY_MS 400
 
+/* Within this time of a change a pending watch has delivered it.  */
+#define MIRROR_DELIVERY_MS 500
+/* Time by which the contents of a relay may lag behind the store.  */
+#define MIRROR_RELAY_LAG_MS 1000
+
 /* Added to the wait of a call to a relay for its timeout.  */
 #define MIRROR_FOLLOW_MARGIN_MS 300
 
@@ -83,6 +88,11 @@
 /* Returns the store revision up to which changes have been applied.  */
 uint64_t mirror_revision (const struct mirror *mirror);
 
+/* For the callbacks item and removed: returns the time after which the change
+   was made, as far as this host can tell; CLK_LONG_AGO for the first listing.
+ */
+clk_ms mirror_changed_after_ms (const struct mirror *mirror);
+
 /* Notes that another host has seen the store at REVISION.  A watch that does
    not reach it within MIRROR_PEER_REVISION_WAIT_MS is restarted.  */
 void mirror_set_peer_revision (struct mirror *mirror, uint64_t revision);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -198,6 +198,30 @@
                     PLATFORM_UNAVAILABLE);
 }
 
+UNIT_PLAIN (test_every_reply_has_the_era_of_the_store)
+{
+  static const struct
+  {
+    enum platform_call_kind kind;
+    int code;
+    const char *body;
+  } rows[] = {
+    { PLATFORM_LIST, 200, "{\"items\":[],\"as_of\":5}" },
+    { PLATFORM_LIST, 200, "cut" },
+    { PLATFORM_WATCH, 410, "{}" },
+    { PLATFORM_RENEW, 404, "" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct kv_response response;
+      store_codec.parse (&response, rows[i].kind, rows[i].code, "3",
+                         rows[i].body, strlen (rows[i].body));
+      ck_assert_uint_eq (response.reply.era, 3);
+      kv_response_clear (&response);
+    }
+  ck_assert_uint_eq (store_response (PLATFORM_RENEW, 404, "").reply.era, 0);
+}
+
 UNIT_PLAIN (test_write_contains_expected_revisions)
 {
   struct platform_write write = {
