Metrics: the age of an announcement of unknown time is not observed

Cause: an instance that leaves when a host starts has an announcement of unknown time, CLK_LONG_AGO, and the sum of leaving_instance_ms overflowed.

Callers saw nothing; the histogram was wrong, and the sanitizer stopped the schedules of the fleet (histogram.c:16).

Change: such an age is not observed, and the log line has since_ms=-1.

--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -213,8 +213,10 @@
 note_leaving (struct caller *caller, const struct instance_entry *entry)
 {
   const struct run_request *run = &caller->run;
-  clk_ms since_ms = run->sent_ms - entry->leaving_since_ms;
-  histogram_observe (caller_metrics_of (caller)->leaving_ms, since_ms);
+  bool is_dated = entry->leaving_since_ms != CLK_LONG_AGO;
+  clk_ms since_ms = is_dated ? run->sent_ms - entry->leaving_since_ms : -1;
+  if (is_dated)
+    histogram_observe (caller_metrics_of (caller)->leaving_ms, since_ms);
   log_event (kernel_log (caller_kernel (caller)), LOG_INFO, "sent_to_leaving",
              LOG_S ("id", run->id), LOG_S ("instance", entry->id),
              LOG_I ("since_ms", since_ms), LOG_U ("attempts", run->attempts));
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -275,7 +275,9 @@
   bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED;
   bool reachable = answered && reply->body.peer_body_u.followed.reached;
   mirror->call = 0;
-  mirror->changed_after_ms = mirror->current_ms - MIRROR_RELAY_LAG_MS;
+  mirror->changed_after_ms = mirror->current_ms;
+  if (mirror->current_ms != CLK_LONG_AGO)
+    mirror->changed_after_ms -= MIRROR_RELAY_LAG_MS;
   if (answered)
     apply_relay_reply (mirror, &reply->body.peer_body_u.followed);
   if (reachable)
