A leaving primary gets no new work once its drain time is over

Cause: replicas are left out as soon as they announce that they leave, but the primary was used as long as no other instance led the group, however long that took. No code knew for how long the platform lets an instance take new work. With its replicas partitioned from it, no hand-over can succeed: only it has all commits. The class of fault: a fallback without a time limit.

The time of an announcement is the time after which it was made, as far as the host can tell: of the store's reply before, if it came with a listing or after a wait. An entry that was removed counts as announced at its removal. group_takes_work decides, and each way to an instance asks it: the choice of the primary, that of an instance for a read, and again when the connection is there, after a queue, a retry or on the first statement of a transaction whose BEGIN has run. Forwarded statements pass the same code at the other host. Commits are not given up: statements wait, then are refused as not run.

--- a/src/cli/proxy_report.c
+++ b/src/cli/proxy_report.c
@@ -216,6 +216,9 @@
   else if (!backend_usable (leader))
     why = "the primary can't be reached: forwarded to a host that can, else "
           "held for a short time, then refused";
+  else if (!group_takes_work (group, leader))
+    why = "the primary has announced that it leaves and takes no new work: "
+          "held for a short time, then refused";
   else
     why = "reads and writes go to the primary";
   json_object_set_new (answer, "why", json_string (why));
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -111,6 +111,7 @@
   char *store_endpoint;
   char *promote_endpoint;
   int64_t shutdown_limit_s;
+  int64_t instance_drain_ms;
   int64_t link_mbps;
 };
 
--- a/src/cli/settings_table.c
+++ b/src/cli/settings_table.c
@@ -254,6 +254,15 @@
     FIELD (shutdown_limit_s),
     .fallback = "6",
     .help = "Time from SIGTERM until the platform ends the process" },
+  { .name = "instance-drain-ms",
+    .type = SETTING_NUMBER,
+    .commands = SETTINGS_SERVE,
+    .min = 1000,
+    .max = 3600000,
+    FIELD (instance_drain_ms),
+    .fallback = "7000",
+    .help = "Time for which an instance takes new work after it has announced "
+            "that it leaves" },
 };
 
 _Static_assert(sizeof table / sizeof table[0] <= SETTINGS_LIMIT,
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -105,6 +105,11 @@
       wait_for_group (caller, "no primary");
       return;
     }
+  if (!group_takes_work (group, leader))
+    {
+      wait_for_group (caller, "the primary is leaving");
+      return;
+    }
   connect_to (caller, leader);
 }
 
@@ -289,12 +294,29 @@
       plain ? NULL : &run->min_position);
 }
 
+/* Returns whether CONN, which the statement has waited for, belongs to an
+   instance that takes no new work any more.  */
+static bool
+has_left (struct caller *caller, const struct backend_conn *conn)
+{
+  const struct group *group = caller_group (caller);
+  return group != NULL && starts_work (caller)
+         && !group_takes_work (group, conn_backend (conn));
+}
+
 /* Sets CONN up for the statement and sends it.  If the set-up needs answers
    first, on_answered sends it.  */
 static void
 run_on (struct caller *caller, struct backend_conn *conn)
 {
   struct run_request *run = &caller->run;
+  if (has_left (caller, conn))
+    {
+      caller->conn = NULL;
+      conn_release (conn);
+      caller_wait (caller, 0);
+      return;
+    }
   bool opens = caller_in_transaction (caller) && caller->conn == NULL;
   caller->conn = conn;
   run->stage = RUN_SETTING_UP;
--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -11,8 +11,9 @@
 {
   struct instance_entry entry;
   struct catalog *catalog;
-  bool listed;           /* set since the start of the last listing */
-  struct ktimer absence; /* armed while the entry is absent */
+  bool listed;             /* set since the start of the last listing */
+  struct ktimer absence;   /* armed while the entry is absent */
+  clk_ms removed_after_ms; /* if it is absent */
   UT_hash_handle hh;
 };
 
@@ -123,13 +124,16 @@
 {
   struct catalog_instance *instance = arg;
   struct catalog *catalog = instance->catalog;
-  char id[NAME_BYTES];
-  memcpy (id, instance->entry.id, sizeof id);
+  struct instance_entry entry = instance->entry;
   log_event (kernel_log (catalog->base.kernel), LOG_NOTICE, "instance_gone",
-             LOG_S ("instance", id), LOG_I ("absent_ms", CATALOG_ABSENCE_MS));
+             LOG_S ("instance", entry.id),
+             LOG_I ("absent_ms", CATALOG_ABSENCE_MS));
+  if (!entry.draining || instance->removed_after_ms < entry.leaving_since_ms)
+    entry.leaving_since_ms = instance->removed_after_ms;
+  entry.draining = true;
   drop_instance (instance);
   if (catalog->watch.gone != NULL)
-    catalog->watch.gone (catalog->watch.arg, id);
+    catalog->watch.gone (catalog->watch.arg, &entry);
 }
 
 /* Returns whether A and B differ in a field that decisions depend on.  */
@@ -201,25 +205,26 @@
 }
 
 static void
-mark_absent (struct catalog_instance *instance)
+mark_absent (struct catalog_instance *instance, clk_ms removed_after_ms)
 {
   struct kernel *kernel = instance->catalog->base.kernel;
   if (instance->absence.slot != 0)
     return;
   log_event (kernel_log (kernel), LOG_NOTICE, "instance_absent",
              LOG_S ("instance", instance->entry.id));
+  instance->removed_after_ms = removed_after_ms;
   kernel_timer_set (kernel, &instance->absence,
                     kernel_now (kernel) + CATALOG_ABSENCE_MS);
 }
 
 void
 catalog_remove_instance (struct catalog *catalog, const char *id,
-                         uint64_t revision)
+                         uint64_t revision, clk_ms removed_after_ms)
 {
   struct catalog_instance *instance;
   HASH_FIND_STR (catalog->instances, id, instance);
   if (instance != NULL && instance->entry.revision <= revision)
-    mark_absent (instance);
+    mark_absent (instance, removed_after_ms);
 }
 
 void
@@ -231,13 +236,14 @@
 }
 
 void
-catalog_end_list (struct catalog *catalog, uint64_t revision)
+catalog_end_list (struct catalog *catalog, uint64_t revision,
+                  clk_ms removed_after_ms)
 {
   struct catalog_instance *instance, *next;
   HASH_ITER (hh, catalog->instances, instance, next)
   {
     if (!instance->listed && instance->entry.revision <= revision)
-      mark_absent (instance);
+      mark_absent (instance, removed_after_ms);
   }
 }
 
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -89,8 +89,9 @@
 {
   void (*config) (void *arg);
   void (*instance) (void *arg, const struct instance_entry *entry);
-  /* The entry has been absent for CATALOG_ABSENCE_MS.  */
-  void (*gone) (void *arg, const char *id);
+  /* The entry has been absent for CATALOG_ABSENCE_MS.  ENTRY is the last one,
+     draining since its removal or before.  */
+  void (*gone) (void *arg, const struct instance_entry *entry);
   void *arg;
 };
 
@@ -116,14 +117,16 @@
 /* Adds or updates an instance; ignores an entry older than the known one.  */
 void catalog_set_instance (struct catalog *catalog,
                            const struct instance_entry *entry);
-/* Marks the entry of instance ID as absent, unless it is newer than
-   REVISION.  */
+/* Marks the entry of instance ID as absent, unless it is newer than REVISION.
+   It was removed after REMOVED_AFTER_MS.  */
 void catalog_remove_instance (struct catalog *catalog, const char *id,
-                              uint64_t revision);
+                              uint64_t revision, clk_ms removed_after_ms);
 
 /* Start and end a complete listing: entries that are not set in between, and
-   are not newer than REVISION, are marked as absent.  */
+   are not newer than REVISION, are marked as absent.  They were removed after
+   REMOVED_AFTER_MS.  */
 void catalog_begin_list (struct catalog *catalog);
-void catalog_end_list (struct catalog *catalog, uint64_t revision);
+void catalog_end_list (struct catalog *catalog, uint64_t revision,
+                       clk_ms removed_after_ms);
 
 #endif
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -263,21 +263,19 @@
   group_notify (group);
 }
 
-/* Marks an instance whose entry was removed as draining, so that a primary
-   is handed over if it can still be reached.  */
+/* An instance whose entry was removed is draining, so a primary is handed over
+   if it can still be reached.  */
 static void
-on_gone (void *arg, const char *id)
+on_gone (void *arg, const struct instance_entry *entry)
 {
   struct groups *groups = arg;
   struct group *group, *next;
   HASH_ITER (hh, groups->table, group, next)
   {
-    struct member_instance *instance = find_instance (group, id);
+    struct member_instance *instance = find_instance (group, entry->id);
     if (instance == NULL)
       continue;
-    struct instance_entry entry = *backend_entry (instance->backend);
-    entry.draining = true;
-    backend_set_entry (instance->backend, &entry);
+    backend_set_entry (instance->backend, entry);
     instance->removed_ms = group_now (group);
   }
 }
@@ -464,6 +462,15 @@
   return primary ? &group->for_primary : &group->for_any;
 }
 
+bool
+group_takes_work (const struct group *group, const struct backend *backend)
+{
+  const struct instance_entry *entry = backend_entry (backend);
+  clk_ms span_ms = group->groups->options.drain_ms - GROUP_DRAIN_MARGIN_MS;
+  return !entry->draining
+         || group_now (group) - entry->leaving_since_ms < span_ms;
+}
+
 size_t
 group_instances (struct group *group, struct backend *out[GROUP_INSTANCES])
 {
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -67,6 +67,11 @@
    counts work that an instance receives after its drain time.  */
 #define GROUP_REMOVED_PRIMARY_MS 2000
 
+/* New work for an instance that leaves ends this long before its drain time
+   does: the work is on its way for some time, and the announcement may have
+   been read late.  */
+#define GROUP_DRAIN_MARGIN_MS 1000
+
 /* Largest number of connections to one instance that a host may open.  */
 #define GROUP_SHARE_LIMIT 8
 /* The same while the number of hosts is not known yet.  */
@@ -95,6 +100,8 @@
   struct instance_port *port;
   status_parse parse_status;
   const char *zone; /* failure domain of this host */
+  clk_ms drain_ms;  /* for which an instance takes new work after it has
+                       announced that it leaves */
 };
 
 struct groups *groups_new (const struct groups_options *options);
@@ -146,6 +153,12 @@
    instance.  */
 struct admission *group_admission (struct group *group, bool primary);
 
+/* Returns whether new work may be sent to BACKEND: a statement outside a
+   transaction, or the first of one.  An instance that has announced that it
+   leaves takes none after its drain time.  */
+bool group_takes_work (const struct group *group,
+                       const struct backend *backend);
+
 /* Subscribes SUBSCRIBER to the next change; does nothing if it is subscribed.
  */
 void group_subscribe (struct group *group,
--- a/src/proxy/group_read.c
+++ b/src/proxy/group_read.c
@@ -57,7 +57,8 @@
     return "unreachable";
   if (is_behind (group, instance, floor))
     return "behind";
-  if (backend_entry (backend)->draining && backend != group->leader)
+  if (!group_takes_work (group, backend)
+      || (backend_entry (backend)->draining && backend != group->leader))
     return "leaving";
   return NULL;
 }
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -79,6 +79,7 @@
                                is gone; CLK_NEVER: it does not */
   bool unreachable;         /* answers nothing, not even connects */
   bool replication_stopped; /* receives no log from the primary */
+  bool was_stopped;         /* the same at the last tick */
   clk_ms lag_ms;            /* from receiving a log position to applying it */
   uint32_t connections;
   uint32_t max_connections;
@@ -255,6 +256,8 @@
 void fleet_peer_ports (struct fleet_host *host);
 /* Discards the calls of a stopped host without calling their callbacks.  */
 void fleet_peer_abandon_calls (struct fleet_host *host);
+/* Lets replicas whose replication resumes catch up with the primary.  */
+void fleet_replicate (struct fleet *fleet);
 /* Write and remove a key as an instance or the operator, without a lease.
    Return the new revision; 0 if the store is down.  */
 uint64_t fleet_store_put (struct fleet *fleet, const char *name,
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -470,6 +470,20 @@
     }
 }
 
+/* Runs a watch that the store did not receive at first, or fails it: its
+   connection is found to be broken.  */
+static void
+watch_sent_again (void *arg)
+{
+  struct call_ref *ref = arg;
+  struct store_call *call = find_call (ref->store, ref->id);
+  free (ref);
+  if (call != NULL && is_served (call))
+    run_call (call);
+  else if (call != NULL)
+    finish_status (call, PLATFORM_UNAVAILABLE);
+}
+
 static void
 call_arrived (void *arg)
 {
@@ -477,6 +491,8 @@
   struct store_call *call = find_call (ref->store, ref->id);
   if (call != NULL && is_served (call))
     run_call (call);
+  else if (call != NULL && call->call.kind == PLATFORM_WATCH)
+    schedule (call, KEEPALIVE_MS, watch_sent_again);
   free (ref);
 }
 
