Everything from the store is ordered by its era, then by its revision

Cause: revisions ordered all that a host knows, but a restored store gives them out again. A watch from a revision that the store has again is answered with what came after it: announcements that were written again before it were never read. The class of fault: an identity that is not unique over time. The same numbers ordered the entries of the catalogue, the contents of relays, the revisions that hosts exchange, the expected own writes, and the fencing token of the promotion duty; ids of leases come back too.

Change: an index consists of the era of the store (header Store-Era) and the revision, so each comparison holds across restorations, and messages between hosts stay as they are. A reply of a later era, to any call of a host, makes the mirror list all keys again; a reply of an earlier one is not used. A relay gives all it has to a host that comes from an earlier era. A lease of an earlier era counts as lost. An entry of the copy that its instance has replaced since (born, then sequence) is ignored, and a removed entry is remembered for a minute, so nothing takes an announcement back. What is written again after a restoration may have been announced before it, and is dated so.

Why it works: of two states of the store the one of the later era is the later one, whatever their revisions; and the instance's own count does not depend on the store.

New tests fail without the order by sequence, with a lease that outlives its era, and with a token without era. The schedules' own model was mended where it did what the platform's pages rule out: an instance that has left without its entry, and returns leaving.

--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -5,7 +5,13 @@
 
    The service stores entries with compare-and-swap on their modification
    index, offers watches on keys and on the list of hosts, and leases that
-   delete their keys when they end.  */
+   delete their keys when they end.
+
+   The service may be restored from an older copy, and then gives its revisions
+   out again.  An index orders all its states nevertheless: it consists of the
+   era, which rises with each restoration, and the revision.  A watch or a
+   write with an index of an earlier era may be answered as if the revision
+   were one of the present era; the reply tells the era.  */
 
 #ifndef SAVORYWAY_PORT_PLATFORM_PORT_H
 #define SAVORYWAY_PORT_PLATFORM_PORT_H
@@ -29,6 +35,26 @@
   PLATFORM_WATCH    /* changes below a prefix after wait_index */
 };
 
+#define PLATFORM_REVISION_BITS 40
+
+static inline uint64_t
+platform_index_of (uint64_t era, uint64_t revision)
+{
+  return era << PLATFORM_REVISION_BITS | revision;
+}
+
+static inline uint64_t
+platform_index_era (uint64_t index)
+{
+  return index >> PLATFORM_REVISION_BITS;
+}
+
+static inline uint64_t
+platform_index_revision (uint64_t index)
+{
+  return index & ((UINT64_C (1) << PLATFORM_REVISION_BITS) - 1);
+}
+
 struct platform_write
 {
   const char *key;
@@ -89,8 +115,7 @@
 {
   enum platform_status status;
   uint64_t index;
-  uint64_t era; /* how often the service was restored from an older copy; 0 if
-                   not reported */
+  uint64_t era; /* also of replies without an index; 0 if not reported */
   const struct platform_item *items; /* valid during the call */
   size_t item_count;
   const struct platform_host *hosts;
--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "kernel/mem.h"
+#include "port/platform_port.h"
 
 struct catalog_instance
 {
@@ -14,6 +15,7 @@
   bool listed;             /* set since the start of the last listing */
   struct ktimer absence;   /* armed while the entry is absent */
   clk_ms removed_after_ms; /* if it is absent */
+  bool gone;               /* absent for longer than CATALOG_ABSENCE_MS */
   UT_hash_handle hh;
 };
 
@@ -124,14 +126,22 @@
 {
   struct catalog_instance *instance = arg;
   struct catalog *catalog = instance->catalog;
+  struct kernel *kernel = catalog->base.kernel;
   struct instance_entry entry = instance->entry;
+  if (instance->gone)
+    {
+      drop_instance (instance);
+      return;
+    }
+  instance->gone = true;
+  kernel_timer_set (kernel, &instance->absence,
+                    kernel_now (kernel) + CATALOG_FORGET_MS);
   log_event (kernel_log (catalog->base.kernel), LOG_NOTICE, "instance_gone",
              LOG_S ("instance", entry.id),
              LOG_I ("absent_ms", CATALOG_ABSENCE_MS));
   if (!entry.draining || instance->removed_after_ms < entry.leaving_since_ms)
     entry.leaving_since_ms = instance->removed_after_ms;
   entry.draining = true;
-  drop_instance (instance);
   if (catalog->watch.gone != NULL)
     catalog->watch.gone (catalog->watch.arg, &entry);
 }
@@ -146,6 +156,39 @@
          || a->born_ms != b->born_ms;
 }
 
+/* Returns whether ENTRY was replaced by KNOWN.  In a later era of the store
+   the order of the instance's own writes applies.  */
+static bool
+is_older (const struct instance_entry *entry,
+          const struct instance_entry *known)
+{
+  if (platform_index_era (entry->revision)
+      <= platform_index_era (known->revision))
+    return entry->revision < known->revision;
+  if (entry->born_ms != known->born_ms)
+    return entry->born_ms < known->born_ms;
+  return entry->sequence < known->sequence;
+}
+
+/* Ignores ENTRY, which was replaced by that of INSTANCE.  */
+static void
+ignore_entry (struct catalog_instance *instance,
+              const struct instance_entry *entry)
+{
+  uint64_t known = instance->entry.revision;
+  log_event (kernel_log (instance->catalog->base.kernel), LOG_NOTICE,
+             "entry_older", LOG_S ("instance", entry->id),
+             LOG_S ("state", entry->draining ? "draining" : "ready"),
+             LOG_U ("era", platform_index_era (entry->revision)),
+             LOG_U ("revision", platform_index_revision (entry->revision)),
+             LOG_U ("known_era", platform_index_era (known)),
+             LOG_U ("known", platform_index_revision (known)));
+  instance->listed = true;
+  /* What is written next in this era is newer.  */
+  if (entry->revision > known)
+    instance->entry.revision = entry->revision;
+}
+
 /* Replaces KNOWN by ENTRY, but keeps the time of an announcement that both
    contain.  */
 static void
@@ -177,13 +220,9 @@
     }
   else
     {
-      if (entry->revision < instance->entry.revision)
+      if (is_older (entry, &instance->entry))
         {
-          log_event (kernel_log (kernel), LOG_NOTICE, "entry_older",
-                     LOG_S ("instance", entry->id),
-                     LOG_S ("state", entry->draining ? "draining" : "ready"),
-                     LOG_U ("revision", entry->revision),
-                     LOG_U ("known", instance->entry.revision));
+          ignore_entry (instance, entry);
           return;
         }
       changed = entry_differs (&instance->entry, entry)
@@ -191,6 +230,7 @@
       update_entry (&instance->entry, entry);
     }
   instance->listed = true;
+  instance->gone = false;
   kernel_timer_cancel (kernel, &instance->absence);
   if (!changed)
     return;
@@ -199,7 +239,7 @@
              LOG_S ("address", entry->address), LOG_S ("zone", entry->zone),
              LOG_S ("role", entry->is_primary ? "primary" : "replica"),
              LOG_S ("state", entry->draining ? "draining" : "ready"),
-             LOG_U ("revision", entry->revision));
+             LOG_U ("revision", platform_index_revision (entry->revision)));
   if (catalog->watch.instance != NULL)
     catalog->watch.instance (catalog->watch.arg, &instance->entry);
 }
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -2,7 +2,9 @@
 
    Routes come from the operators' configuration, whose version never decreases
    within a process.  Each instance writes its own entry to the platform's
-   store.  An entry counts as removed only after it has been absent for
+   store.  A store that was restored returns entries that their instances have
+   replaced; those are told by the order of the instance's own writes.  An
+   entry counts as removed only after it has been absent for
    CATALOG_ABSENCE_MS, since entries of running instances return after an
    outage of the store.
 
@@ -22,6 +24,10 @@
    end.  */
 #define CATALOG_ABSENCE_MS 2500
 
+/* How long a removed entry is remembered.  If it returns, it may be older than
+   the last one, and an announcement that it contains may not be new.  */
+#define CATALOG_FORGET_MS 60000
+
 #define VALUE_NAME_BYTES 128
 
 enum route_kind
@@ -79,7 +85,8 @@
   clk_ms leaving_since_ms;
   bool is_primary;   /* the instance's own view of its role */
   uint64_t born_ms;  /* start time of the instance */
-  uint64_t revision; /* of the store, at which the entry was written */
+  uint64_t sequence; /* of its writes since */
+  uint64_t revision; /* index of the store, at which the entry was written */
 };
 
 struct catalog;
--- a/src/proxy/lease.c
+++ b/src/proxy/lease.c
@@ -16,8 +16,9 @@
   clk_ms ttl_ms;
   clk_ms renew_ms;
   void (*gained) (void *arg);
-  void (*answered) (void *arg, enum platform_status status);
+  void (*answered) (void *arg, const struct platform_reply *reply);
   void *arg;
+  uint64_t era; /* of the store, when it created the lease */
   char id[LEASE_ID_BYTES];
   clk_ms expires_ms;
   clk_ms sent_ms;
@@ -48,10 +49,12 @@
 {
   struct lease *lease = arg;
   lease->call = 0;
-  lease->answered (lease->arg, reply->status);
+  lease->answered (lease->arg, reply);
   lease->unanswered
       = reply->status != PLATFORM_OK && reply->status != PLATFORM_NOT_FOUND;
-  if (reply->status == PLATFORM_NOT_FOUND)
+  bool is_new = reply->lease != NULL;
+  if (reply->status == PLATFORM_NOT_FOUND
+      || (reply->status == PLATFORM_OK && !is_new && reply->era > lease->era))
     {
       lease_lost (lease);
       return;
@@ -61,12 +64,12 @@
       retry_later (lease);
       return;
     }
-  bool is_new = reply->lease != NULL;
   if (is_new && !text_copy (lease->id, sizeof lease->id, reply->lease))
     {
       retry_later (lease);
       return;
     }
+  lease->era = reply->era;
   lease->expires_ms = lease->sent_ms + lease->ttl_ms;
   set_timer (lease, lease->renew_ms);
   if (is_new && lease->wanted)
@@ -99,7 +102,7 @@
 lease_new (struct kernel *kernel, struct platform_port *store,
            const char *purpose, clk_ms ttl_ms, clk_ms renew_ms,
            void (*gained) (void *arg),
-           void (*answered) (void *arg, enum platform_status status),
+           void (*answered) (void *arg, const struct platform_reply *reply),
            void *arg)
 {
   struct lease *lease = mem_zalloc (sizeof *lease);
@@ -204,6 +207,8 @@
 void
 lease_lost (struct lease *lease)
 {
+  if (lease->id[0] == '\0')
+    return;
   log_event (kernel_log (lease->kernel), LOG_WARNING, "lease_ended",
              LOG_S ("lease", lease->id), LOG_S ("purpose", lease->purpose));
   lease->id[0] = '\0';
--- a/src/proxy/lease.h
+++ b/src/proxy/lease.h
@@ -2,7 +2,8 @@
 
    The store counts the term of a lease from the arrival of a call, this host
    from the sending of the call.  So a lease that is valid here is valid at the
-   store too.  */
+   store too.  After a restoration of the store from an older copy a lease
+   counts as lost, since its id may be that of another lease.  */
 
 #ifndef SAVORYWAY_PROXY_LEASE_H
 #define SAVORYWAY_PROXY_LEASE_H
@@ -18,10 +19,12 @@
 /* Creates a lease of TTL_MS, renewed every RENEW_MS.  PURPOSE labels the calls
    to the store.  GAINED is called when a new lease has been acquired, ANSWERED
    after each call.  */
-struct lease *lease_new (
-    struct kernel *kernel, struct platform_port *store, const char *purpose,
-    clk_ms ttl_ms, clk_ms renew_ms, void (*gained) (void *arg),
-    void (*answered) (void *arg, enum platform_status status), void *arg);
+struct lease *lease_new (struct kernel *kernel, struct platform_port *store,
+                         const char *purpose, clk_ms ttl_ms, clk_ms renew_ms,
+                         void (*gained) (void *arg),
+                         void (*answered) (void *arg,
+                                           const struct platform_reply *reply),
+                         void *arg);
 void lease_free (struct lease *lease);
 
 /* Acquires the lease and renews it until lease_release.  */
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -20,10 +20,11 @@
   bool listing;
   char *after;       /* last key of the previous page; NULL: first page */
   uint64_t revision; /* changes up to here are applied */
-  uint64_t era;      /* of the store's last reply */
   clk_ms sent_ms;    /* of the call in flight */
   clk_ms current_ms; /* the contents were current then */
   clk_ms changed_after_ms;
+  clk_ms restored_ms;   /* time at which a restoration was noticed */
+  clk_ms lost_after_ms; /* what it has lost was written after that */
   bool complete;
   bool store_reachable;
   uint32_t failures;
@@ -60,40 +61,73 @@
   log_event (kernel_log (mirror->base.kernel),
              reachable ? LOG_NOTICE : LOG_WARNING,
              reachable ? "store_regained" : "store_lost",
-             LOG_U ("revision", mirror->revision));
+             LOG_U ("revision", platform_index_revision (mirror->revision)));
   for (size_t i = 0; i < mirror->subscriber_count; i++)
     if (mirror->subscribers[i].reachable_changed != NULL)
       mirror->subscribers[i].reachable_changed (mirror->subscribers[i].arg,
                                                 reachable);
 }
 
-/* Notes the era of a reply of the store.  */
+/* Returns whether ERA is later than that of the contents.  */
+static bool
+is_restored (const struct mirror *mirror, uint64_t era)
+{
+  return mirror->complete && era > platform_index_era (mirror->revision);
+}
+
+/* Notes that the store was restored: it is in ERA now, at INDEX (0: not
+   known).  */
 static void
-note_era (struct mirror *mirror, const struct platform_reply *reply)
+note_restored (struct mirror *mirror, uint64_t era, uint64_t index)
 {
-  if (reply->era <= mirror->era)
-    return;
-  if (mirror->complete)
-    log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "store_restored",
-               LOG_U ("era", reply->era), LOG_U ("before", mirror->era),
-               LOG_U ("revision", mirror->revision),
-               LOG_U ("as_of", reply->index),
-               LOG_U ("changes", reply->item_count));
-  mirror->era = reply->era;
+  clk_ms now_ms = kernel_now (mirror->base.kernel);
+  if (now_ms - mirror->restored_ms >= MIRROR_REWRITTEN_MS)
+    mirror->lost_after_ms = mirror->current_ms;
+  mirror->restored_ms = now_ms;
+  log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "store_restored",
+             LOG_U ("era", era),
+             LOG_U ("before", platform_index_era (mirror->revision)),
+             LOG_U ("revision", platform_index_revision (mirror->revision)),
+             LOG_U ("as_of", platform_index_revision (index)));
+}
+
+/* Sets the time after which the changes of a reply were made to SINCE_MS, or
+   to an earlier one if they may have been written again after a
+   restoration.  */
+static void
+date_changes (struct mirror *mirror, clk_ms since_ms)
+{
+  clk_ms now_ms = kernel_now (mirror->base.kernel);
+  bool again = now_ms - mirror->restored_ms < MIRROR_REWRITTEN_MS;
+  mirror->changed_after_ms = since_ms;
+  if (again && mirror->lost_after_ms < since_ms)
+    mirror->changed_after_ms = mirror->lost_after_ms;
 }
 
-/* Determines the time after which the changes of a reply of the store were
-   made.  */
+/* The same for a reply of the store.  */
 static void
-date_changes (struct mirror *mirror)
+date_store_changes (struct mirror *mirror)
 {
   clk_ms now_ms = kernel_now (mirror->base.kernel);
-  mirror->changed_after_ms = mirror->current_ms;
-  if (!mirror->listing && now_ms - mirror->sent_ms >= MIRROR_DELIVERY_MS)
-    mirror->changed_after_ms = now_ms - MIRROR_DELIVERY_MS;
+  bool pending
+      = !mirror->listing && now_ms - mirror->sent_ms >= MIRROR_DELIVERY_MS;
+  date_changes (mirror,
+                pending ? now_ms - MIRROR_DELIVERY_MS : mirror->current_ms);
   mirror->current_ms = now_ms;
 }
 
+/* The same for a reply of a relay.  */
+static void
+date_relay_changes (struct mirror *mirror, bool reachable)
+{
+  clk_ms since_ms = mirror->current_ms;
+  if (since_ms != CLK_LONG_AGO)
+    since_ms -= MIRROR_RELAY_LAG_MS;
+  date_changes (mirror, since_ms);
+  if (reachable)
+    mirror->current_ms = kernel_now (mirror->base.kernel);
+}
+
 static void
 retry_later (struct mirror *mirror)
 {
@@ -194,21 +228,39 @@
                                       : MIRROR_WATCH_DELAY_MS;
 }
 
+/* Returns whether REPLY is not the continuation of what was received before,
+   since the store was restored meanwhile.  */
+static bool
+is_interrupted (struct mirror *mirror, const struct platform_reply *reply)
+{
+  bool continues = !mirror->listing || mirror->after != NULL;
+  return continues && is_restored (mirror, reply->era);
+}
+
 static void
 on_reply (void *arg, const struct platform_reply *reply)
 {
   struct mirror *mirror = arg;
   mirror->call = 0;
-  note_era (mirror, reply);
+  if (is_interrupted (mirror, reply))
+    {
+      note_restored (mirror, reply->era, reply->index);
+      start_list (mirror);
+      next_call (mirror);
+      return;
+    }
   if (reply->status == PLATFORM_COMPACTED)
     {
-      log_event (kernel_log (mirror->base.kernel), LOG_NOTICE,
-                 "store_compacted", LOG_U ("revision", mirror->revision));
+      log_event (
+          kernel_log (mirror->base.kernel), LOG_NOTICE, "store_compacted",
+          LOG_U ("revision", platform_index_revision (mirror->revision)));
       start_list (mirror);
       next_call (mirror);
       return;
     }
-  if (reply->status != PLATFORM_OK)
+  /* A reply of an earlier era was delayed.  */
+  if (reply->status != PLATFORM_OK
+      || reply->era < platform_index_era (mirror->revision))
     {
       if (mirror->failures > 0)
         set_store_reachable (mirror, false);
@@ -219,7 +271,7 @@
     }
   mirror->failures = 0;
   set_store_reachable (mirror, true);
-  date_changes (mirror);
+  date_store_changes (mirror);
   bool has_changes = reply->item_count > 0;
   if (mirror->listing)
     {
@@ -245,6 +297,10 @@
 static void
 apply_relay_reply (struct mirror *mirror, const peer_followed *reply)
 {
+  if (is_restored (mirror, platform_index_era (reply->revision)))
+    note_restored (mirror, platform_index_era (reply->revision),
+                   reply->revision);
+  date_relay_changes (mirror, reply->reached);
   if (reply->all)
     begin_list (mirror);
   for (u_int i = 0; i < reply->items.items_len; i++)
@@ -275,16 +331,10 @@
   bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED;
   bool reachable = answered && reply->body.peer_body_u.followed.reached;
   mirror->call = 0;
-  mirror->changed_after_ms = mirror->current_ms;
-  if (mirror->current_ms != CLK_LONG_AGO)
-    mirror->changed_after_ms -= MIRROR_RELAY_LAG_MS;
   if (answered)
     apply_relay_reply (mirror, &reply->body.peer_body_u.followed);
   if (reachable)
-    {
-      mirror->current_ms = kernel_now (mirror->base.kernel);
-      set_store_reachable (mirror, true);
-    }
+    set_store_reachable (mirror, true);
   else
     relay_failed (mirror->relay, mirror->source);
   mirror->source[0] = '\0';
@@ -362,6 +412,17 @@
                     kernel_now (mirror->base.kernel));
 }
 
+void
+mirror_note_era (struct mirror *mirror, uint64_t era)
+{
+  /* A relay tells of the restoration itself.  */
+  if (!is_restored (mirror, era) || mirror->listing
+      || mirror_follows_relay (mirror))
+    return;
+  note_restored (mirror, era, 0);
+  mirror_restart_list (mirror);
+}
+
 void
 mirror_restart_watch (struct mirror *mirror)
 {
@@ -378,8 +439,8 @@
   if (mirror->revision >= mirror->expected || !is_watching (mirror))
     return;
   log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_silent",
-             LOG_U ("revision", mirror->revision),
-             LOG_U ("expected", mirror->expected));
+             LOG_U ("revision", platform_index_revision (mirror->revision)),
+             LOG_U ("expected", platform_index_revision (mirror->expected)));
   mirror_restart_watch (mirror);
 }
 
@@ -401,8 +462,8 @@
   if (mirror->revision >= mirror->peer_revision || !is_watching (mirror))
     return;
   log_event (kernel_log (mirror->base.kernel), LOG_WARNING, "watch_behind",
-             LOG_U ("revision", mirror->revision),
-             LOG_U ("heard", mirror->peer_revision));
+             LOG_U ("revision", platform_index_revision (mirror->revision)),
+             LOG_U ("heard", platform_index_revision (mirror->peer_revision)));
   mirror_restart_watch (mirror);
 }
 
@@ -453,6 +514,7 @@
   mirror->base.name = "mirror";
   mirror->port = port;
   mirror->current_ms = CLK_LONG_AGO;
+  mirror->restored_ms = CLK_LONG_AGO;
   mirror->next_call_timer.fire = on_next_call_timer;
   mirror->next_call_timer.arg = mirror;
   mirror->expect_timer
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -6,6 +6,14 @@
    lists all keys again; keys that are missing then count as removed.  Failed
    calls are retried without end.
 
+   If the store was restored from an older copy, which its era tells, the
+   mirror also lists all keys again.  What was applied before may be newer than
+   what the copy contains: subscribers must order the contents themselves where
+   that matters.
+
+   The revisions of this module are indices of platform_port.h: they order all
+   states of the store.
+
    Subscribers receive the items whose key begins with their prefix.
 
    Module name: "mirror".  */
@@ -34,6 +42,9 @@
 
 /* Within this time of a change a pending watch has delivered it.  */
 #define MIRROR_DELIVERY_MS 500
+/* Within this time of a restoration of the store, what it has lost is written
+   again.  */
+#define MIRROR_REWRITTEN_MS 2500
 /* Time by which the contents of a relay may lag behind the store.  */
 #define MIRROR_RELAY_LAG_MS 1000
 
@@ -93,6 +104,9 @@
  */
 clk_ms mirror_changed_after_ms (const struct mirror *mirror);
 
+/* Notes the ERA of a reply to a call of another module.  */
+void mirror_note_era (struct mirror *mirror, uint64_t era);
+
 /* Notes that another host has seen the store at REVISION.  A watch that does
    not reach it within MIRROR_PEER_REVISION_WAIT_MS is restarted.  */
 void mirror_set_peer_revision (struct mirror *mirror, uint64_t revision);
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -368,7 +368,9 @@
 static void
 reply_follow (struct relay *relay, uint64_t call, uint64_t revision)
 {
-  bool all = revision < relay->purged_revision;
+  bool all = revision < relay->purged_revision
+             || platform_index_era (revision)
+                    < platform_index_era (mirror_revision (relay->mirror));
   size_t count = count_newer (relay, revision, all);
   peer_item *items = mem_zalloc ((count + 1) * sizeof *items);
   peer_body body = { .kind = PEER_KIND_FOLLOWED };
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -47,8 +47,8 @@
 
 /* Called with the status of other calls too, not only by the mirror: a pending
    watch does not reveal that the store refuses them.  */
-void
-roster_set_store_status (struct roster *roster, enum platform_status status)
+static void
+set_store_status (struct roster *roster, enum platform_status status)
 {
   bool refuses = status == PLATFORM_UNAVAILABLE || status == PLATFORM_LOST;
   if (refuses == roster->store_refuses)
@@ -64,6 +64,13 @@
   roster_report (roster, SUSPICIONS_STORE, refuses ? SUSPICIONS_STORE : NULL);
 }
 
+void
+roster_note_reply (struct roster *roster, const struct platform_reply *reply)
+{
+  set_store_status (roster, reply->status);
+  mirror_note_era (roster->mirror, reply->era);
+}
+
 static void
 own_host_key (const struct roster *roster, char out[KEY_BYTES])
 {
@@ -77,7 +84,7 @@
 {
   struct roster *roster = arg;
   roster->registering = false;
-  roster_set_store_status (roster, reply->status);
+  roster_note_reply (roster, reply);
   if (reply->status == PLATFORM_OK)
     {
       roster->registered = reply->index;
@@ -121,9 +128,9 @@
 }
 
 static void
-lease_answered (void *arg, enum platform_status status)
+lease_answered (void *arg, const struct platform_reply *reply)
 {
-  roster_set_store_status (arg, status);
+  roster_note_reply (arg, reply);
 }
 
 static void
@@ -388,8 +395,7 @@
 on_reachable_changed (void *arg, bool reachable)
 {
   struct roster *roster = arg;
-  roster_set_store_status (roster,
-                           reachable ? PLATFORM_OK : PLATFORM_UNAVAILABLE);
+  set_store_status (roster, reachable ? PLATFORM_OK : PLATFORM_UNAVAILABLE);
   if (!reachable)
     return;
   lease_retry_now (roster->host_lease);
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -4,7 +4,10 @@
    Each host keeps its registration and its reports under a lease of its own,
    so that they expire when the host dies.  One host at a time holds the
    promotion duty, a key under a shorter lease.  The fencing token of the duty
-   is the revision at which its key was created, so it rises with each holder.
+   is the index at which its key was created, so it rises with each holder,
+   also when the store was restored from an older copy.  A conditional write
+   that refers to an earlier era may succeed by accident; it does no harm,
+   since a host replaces only its own keys, and creates the others.
 
    Keys in the store, with the form of their values:
 
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -65,7 +65,7 @@
 on_claim_reply (void *arg, const struct platform_reply *reply)
 {
   struct roster *roster = arg;
-  roster_set_store_status (roster, reply->status);
+  roster_note_reply (roster, reply);
   if (reply->status == PLATFORM_OK)
     mirror_expect (roster->mirror, reply->index);
   roster->claiming = false;
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -104,9 +104,10 @@
 void roster_write_key (struct roster *roster, const struct lease *lease,
                        const char *key, const char *value, uint64_t expected,
                        platform_done done, void *arg);
-/* Updates whether the store refuses calls, from the STATUS of a call.  */
-void roster_set_store_status (struct roster *roster,
-                              enum platform_status status);
+/* Updates whether the store refuses calls, from the REPLY to a call, and notes
+   its era.  */
+void roster_note_reply (struct roster *roster,
+                        const struct platform_reply *reply);
 
 /* roster_reports.c */
 /* Tracks this host's report with the key NAME.  */
--- a/src/proxy/roster_reports.c
+++ b/src/proxy/roster_reports.c
@@ -17,7 +17,7 @@
 on_report_written (void *arg, const struct platform_reply *reply)
 {
   struct roster_report_state *state = arg;
-  roster_set_store_status (state->roster, reply->status);
+  roster_note_reply (state->roster, reply);
   if (reply->status == PLATFORM_OK)
     mirror_expect (state->roster->mirror, reply->index);
   state->call = 0;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -75,8 +75,8 @@
   bool written_draining;    /* in the entry that was written last */
   bool written_primary;     /* likewise */
   uint64_t written;         /* revision of that entry; 0: none */
-  clk_ms leaving_ms;        /* since then the store has told that it leaves or
-                               is gone; CLK_NEVER: it does not */
+  clk_ms announced_ms;      /* that it leaves, in the store; or CLK_NEVER */
+  clk_ms gone_ms;           /* its entry was removed then, or CLK_NEVER */
   bool unreachable;         /* answers nothing, not even connects */
   bool replication_stopped; /* receives no log from the primary */
   bool was_stopped;         /* the same at the last tick */
@@ -95,6 +95,7 @@
   char zone[NAME_BYTES];
   bool running;
   uint64_t incarnation; /* increases with each start */
+  struct log *log;
   struct kernel *kernel;
   struct rng rng;
   struct catalog *catalog;
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -429,8 +429,8 @@
 }
 
 /* Checks that no new work reaches an instance FLEET_DRAIN_MS after it has
-   announced that it leaves: a statement, or the first of a transaction, of a
-   caller.  */
+   announced that it leaves, or its entry was removed: a statement, or the
+   first of a transaction, of a caller.  */
 static void
 check_drained (struct instance_link *link, const struct queued_statement *sent)
 {
@@ -438,15 +438,18 @@
   bool works = sent->kind == STMT_READ || sent->kind == STMT_WRITE
                || sent->kind == STMT_EXECUTE;
   bool continues = link->state != TX_IDLE && link->tx_ran;
-  if (!works || continues || link->host == NULL
-      || instance->leaving_ms == CLK_NEVER
-      || fleet_now (link->fleet) - instance->leaving_ms <= FLEET_DRAIN_MS
+  clk_ms since_ms = instance->announced_ms < instance->gone_ms
+                        ? instance->announced_ms
+                        : instance->gone_ms;
+  if (!works || continues || link->host == NULL || since_ms == CLK_NEVER
+      || fleet_now (link->fleet) - since_ms <= FLEET_DRAIN_MS
       || !fleet_in_touch (link->host))
     return;
   fleet_report_violation (
-      link->fleet, "%s of %s reached %s %lld ms after it announced to leave",
-      sent->id, link->host->name, instance->id,
-      (long long)(fleet_now (link->fleet) - instance->leaving_ms));
+      link->fleet, "%s of %s reached %s %lld ms after it was %s", sent->id,
+      link->host->name, instance->id,
+      (long long)(fleet_now (link->fleet) - since_ms),
+      since_ms == instance->gone_ms ? "removed" : "announced to leave");
 }
 
 static void
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -206,6 +206,12 @@
   finish (call, &(struct platform_reply){ .status = status });
 }
 
+static uint64_t
+index_of (const struct fleet_store *store)
+{
+  return platform_index_of (store->era, store->revision);
+}
+
 static struct store_key *
 put_key (struct fleet_store *store, const char *name, const char *value,
          uint64_t lease)
@@ -235,7 +241,8 @@
   struct store_key *key;
   struct store_lease *lease = NULL;
   HASH_FIND_STR (store->keys, write->key, key);
-  if ((key != NULL ? key->revision : 0) != write->expect_index)
+  if ((key != NULL ? key->revision : 0)
+      != platform_index_revision (write->expect_index))
     return PLATFORM_CONFLICT;
   if (!write->erase && write->lease != NULL
       && (lease = find_lease (store, write->lease)) == NULL)
@@ -244,22 +251,24 @@
     {
       if (key != NULL)
         remove_key (store, key);
-      *index = store->revision;
+      *index = index_of (store);
       return PLATFORM_OK;
     }
   put_key (store, write->key, write->value, lease != NULL ? lease->id : 0);
-  *index = store->revision;
+  *index = index_of (store);
   return PLATFORM_OK;
 }
 
 static struct platform_item
-item_of (const struct store_key *key)
+item_of (const struct fleet_store *store, const struct store_key *key)
 {
-  return (struct platform_item){ .key = (char *)key->name,
-                                 .value = (char *)key->value,
-                                 .value_bytes = strlen (key->value),
-                                 .index = key->revision,
-                                 .created = key->created };
+  return (struct platform_item){
+    .key = (char *)key->name,
+    .value = (char *)key->value,
+    .value_bytes = strlen (key->value),
+    .index = platform_index_of (store->era, key->revision),
+    .created = platform_index_of (store->era, key->created)
+  };
 }
 
 static void
@@ -268,11 +277,11 @@
   struct fleet_store *store = call->store;
   struct platform_item items[HISTORY];
   struct platform_reply reply
-      = { .status = PLATFORM_OK, .index = store->revision, .items = items };
+      = { .status = PLATFORM_OK, .index = index_of (store), .items = items };
   const struct store_key *key;
   for (key = store->keys; key != NULL; key = key->hh.next)
     if (strncmp (key->name, call->key, strlen (call->key)) == 0)
-      items[reply.item_count++] = item_of (key);
+      items[reply.item_count++] = item_of (store, key);
   finish (call, &reply);
 }
 
@@ -286,9 +295,9 @@
       finish_status (call, PLATFORM_NOT_FOUND);
       return;
     }
-  struct platform_item item = item_of (key);
+  struct platform_item item = item_of (call->store, key);
   finish (call, &(struct platform_reply){ .status = PLATFORM_OK,
-                                          .index = call->store->revision,
+                                          .index = index_of (call->store),
                                           .items = &item,
                                           .item_count = 1 });
 }
@@ -301,9 +310,9 @@
   struct fleet_store *store = call->store;
   struct platform_item items[HISTORY];
   struct platform_reply reply
-      = { .status = PLATFORM_OK, .index = store->revision, .items = items };
-  if (call->call.wait_index < store->compacted_revision
-      || call->call.wait_index > store->revision)
+      = { .status = PLATFORM_OK, .index = index_of (store), .items = items };
+  uint64_t after = platform_index_revision (call->call.wait_index);
+  if (after < store->compacted_revision || after > store->revision)
     {
       finish_status (call, PLATFORM_COMPACTED);
       return true;
@@ -313,16 +322,17 @@
   for (size_t i = first; i < store->event_count; i++)
     {
       struct store_event *event = &store->events[i % HISTORY];
-      if (event->revision <= call->call.wait_index
+      if (event->revision <= after
           || strncmp (event->name, call->key, strlen (call->key)) != 0)
         continue;
-      items[reply.item_count++]
-          = (struct platform_item){ .key = event->name,
-                                    .value = event->value,
-                                    .value_bytes = strlen (event->value),
-                                    .index = event->revision,
-                                    .created = event->created,
-                                    .removed = event->removed };
+      items[reply.item_count++] = (struct platform_item){
+        .key = event->name,
+        .value = event->value,
+        .value_bytes = strlen (event->value),
+        .index = platform_index_of (store->era, event->revision),
+        .created = platform_index_of (store->era, event->created),
+        .removed = event->removed
+      };
     }
   if (reply.item_count == 0 && fleet_now (store->fleet) < call->until_ms)
     return false;
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -48,10 +48,10 @@
 static void
 print_log (void *arg, int priority, const char *line)
 {
-  (void)arg;
+  struct fleet_host *host = arg;
   if (getenv ("FLEET_LOG") != NULL)
-    fprintf (stderr, "<%d>%lld %s\n", priority, (long long)clk_now (arg),
-             line);
+    fprintf (stderr, "<%d>%lld %s %s\n", priority,
+             (long long)fleet_now (host->fleet), host->name, line);
 }
 
 void
@@ -113,28 +113,37 @@
   instance->written = fleet_store_put (fleet, key, value);
   instance->written_draining = instance->draining;
   instance->written_primary = instance->is_primary;
+  instance->gone_ms = CLK_NEVER;
   if (!instance->draining)
-    instance->leaving_ms = CLK_NEVER;
-  else if (instance->leaving_ms == CLK_NEVER)
-    instance->leaving_ms = fleet_now (fleet);
+    instance->announced_ms = CLK_NEVER;
+  else if (instance->announced_ms == CLK_NEVER)
+    instance->announced_ms = fleet_now (fleet);
+}
+
+#define ENTRY_KEY_BYTES (NAME_BYTES + 16)
+
+static void
+entry_key (const struct fleet_instance *instance, char key[ENTRY_KEY_BYTES])
+{
+  snprintf (key, ENTRY_KEY_BYTES, "servers/%s", instance->id);
 }
 
 static void
 beat (struct fleet_instance *instance)
 {
   struct fleet *fleet = instance->fleet;
-  char key[NAME_BYTES + 16];
+  char key[ENTRY_KEY_BYTES];
   if (fleet_store_is_down (fleet))
     return;
-  snprintf (key, sizeof key, "servers/%s", instance->id);
+  entry_key (instance, key);
   instance->sequence++;
   if (!instance->unregistered)
     {
       write_entry (instance, key);
       return;
     }
-  if (instance->leaving_ms == CLK_NEVER)
-    instance->leaving_ms = fleet_now (fleet);
+  if (instance->gone_ms == CLK_NEVER)
+    instance->gone_ms = fleet_now (fleet);
   instance->written = 0;
   fleet_store_remove (fleet, key);
 }
@@ -169,8 +178,17 @@
 {
   struct rng *rng = &fleet->rng;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
-    fleet_schedule (fleet, (clk_ms)rng_below (rng, FLEET_BEAT_MS), beat_again,
-                    &fleet->instances[i]);
+    {
+      struct fleet_instance *instance = &fleet->instances[i];
+      char key[ENTRY_KEY_BYTES];
+      entry_key (instance, key);
+      /* The store has its entry again, so it no longer tells that the instance
+         is gone.  What the instance announced itself stays true.  */
+      if (fleet_store_find (fleet, key) != 0)
+        instance->gone_ms = CLK_NEVER;
+      fleet_schedule (fleet, (clk_ms)rng_below (rng, FLEET_BEAT_MS),
+                      beat_again, instance);
+    }
   fleet_schedule (fleet, (clk_ms)rng_below (rng, FLEET_BEAT_MS), write_config,
                   fleet);
 }
@@ -263,7 +281,7 @@
                                        .parse_status = fleet_status_parse,
                                        .host = host->name };
   rng_init (&host->rng, rng_u64 (&fleet->rng));
-  host->kernel = kernel_new (&fleet->clk.base, &host->rng, fleet->log);
+  host->kernel = kernel_new (&fleet->clk.base, &host->rng, host->log);
   host->catalog = catalog_new ();
   host->groups = groups_new (&groups);
   host->peer_handler = NULL;
@@ -317,7 +335,7 @@
   struct fleet *fleet = mem_zalloc (sizeof *fleet);
   clk_virtual_init (&fleet->clk, START_MS);
   rng_init (&fleet->rng, seed);
-  fleet->log = log_new (&fleet->clk.base, LOG_INFO, 0, print_log, &fleet->clk);
+  fleet->log = log_new (&fleet->clk.base, LOG_ERR, 0, NULL, NULL);
   fleet->kernel = kernel_new (&fleet->clk.base, &fleet->rng, fleet->log);
   fleet->store = fleet_store_new (fleet);
   fleet->oracle = fleet_oracle_new (fleet);
@@ -334,7 +352,8 @@
       instance->lag_ms = 8;
       instance->max_connections = connections;
       instance->born = 1;
-      instance->leaving_ms = CLK_NEVER;
+      instance->announced_ms = CLK_NEVER;
+      instance->gone_ms = CLK_NEVER;
     }
   fleet->instances[0].is_primary = true;
   fleet->config = print_config (fleet);
@@ -347,6 +366,7 @@
       host->fleet = fleet;
       snprintf (host->name, NAME_BYTES, "host-%zu", i);
       snprintf (host->zone, NAME_BYTES, "zone-%zu", i % FLEET_ZONES);
+      host->log = log_new (&fleet->clk.base, LOG_INFO, 0, print_log, host);
       fleet_instance_ports (host);
       fleet_store_ports (host);
       fleet_peer_ports (host);
@@ -362,6 +382,8 @@
     fleet_host_kill (&fleet->hosts[i]);
   /* Lets the steps in flight end, which free their own memory.  */
   fleet_run (fleet, 60000);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    log_free (fleet->hosts[i].log);
   fleet_store_free (fleet->store);
   fleet_oracle_free (fleet->oracle);
   kernel_free (fleet->kernel);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -311,10 +311,13 @@
       switch (below (s, 5))
         {
         case 0:
-          instance->draining = !instance->draining;
+          /* An instance without an entry has nothing to announce.  */
+          instance->draining = !instance->draining && !instance->unregistered;
           break;
         case 1:
-          instance->unregistered = !instance->unregistered;
+          /* The entry of one that leaves stays until it has ended.  */
+          instance->unregistered
+              = !instance->unregistered && !instance->draining;
           break;
         case 2:
           kill_host (s, host);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -1,6 +1,7 @@
 /* Routing of statements, transactions, promotion, and registration of hosts,
    on a simulated fleet.  */
 
+#include "proxy/lease.h"
 #include "proxy/samples.h"
 #include "tests/fleet/fleet_unit.h"
 
@@ -283,6 +284,116 @@
   read_through_all (FLEET_DRAIN_MS + 2000);
 }
 
+/* Guards against DRAIN: the entry that an instance had replaced before the
+   store was restored took its announcement back.  */
+UNIT_TEST (test_an_entry_of_a_restored_copy_takes_no_announcement_back)
+{
+  struct fleet_caller *reader
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
+  fleet_store_copy (fleet);
+  fleet_instance (fleet, 1)->draining = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, 2000);
+  fleet_store_restore (fleet);
+  clk_ms until_ms = fleet_now (fleet) + FLEET_BEAT_MS + 2000;
+  while (fleet_now (fleet) < until_ms)
+    {
+      ck_assert_int_eq (run (reader, STMT_READ, "a", NULL), CODE_OK);
+      ck_assert_str_ne (fleet_caller_server (reader), "i-1");
+    }
+}
+
+/* Guards against an older fencing token: the platform refuses it, so that no
+   primary could be replaced.  */
+UNIT_TEST (test_the_fencing_token_rises_when_the_store_is_restored)
+{
+  fleet_store_copy (fleet);
+  raise_revision (20);
+  fleet_host_kill (duty_holder ());
+  fleet_run (fleet, 4000);
+  fleet_instance (fleet, 0)->unreachable = true;
+  write_gap_ms (duty_holder ());
+  uint64_t before = fleet_token (fleet);
+  fleet_instance (fleet, 0)->unreachable = false;
+  fleet_store_restore (fleet);
+  fleet_run (fleet, 6000);
+  fleet_primary (fleet)->unreachable = true;
+  ck_assert_int_le (write_gap_ms (duty_holder ()), 1000 + FLEET_PROMOTE_MS);
+  ck_assert_uint_gt (fleet_token (fleet), before);
+}
+
+/* A store that answers each call at once, in the era ERA.  */
+struct fake_store
+{
+  struct platform_port base;
+  uint64_t era;
+  enum platform_call_kind last;
+};
+
+static uint64_t
+fake_call (struct platform_port *port, const struct platform_call *call,
+           platform_done done, void *arg)
+{
+  struct fake_store *store = (struct fake_store *)port;
+  struct platform_reply reply = { .era = store->era };
+  store->last = call->kind;
+  if (call->kind == PLATFORM_LEASE)
+    reply.lease = "7";
+  done (arg, &reply);
+  return 0;
+}
+
+static void
+ignore_gained (void *arg)
+{
+  (void)arg;
+}
+
+static void
+ignore_answered (void *arg, const struct platform_reply *reply)
+{
+  (void)arg;
+  (void)reply;
+}
+
+/* Guards against a holder of the duty that is not replaced: a restored store
+   gives ids of leases out again, so a host renewed the lease of another.  */
+UNIT_TEST (test_a_lease_of_an_earlier_era_is_not_kept)
+{
+  static const struct platform_port_ops ops = { .call = fake_call };
+  struct fake_store store = { .base = { .ops = &ops }, .era = 1 };
+  struct lease *lease = lease_new (fleet->kernel, &store.base, "test", 1500,
+                                   450, ignore_gained, ignore_answered, NULL);
+  lease_acquire (lease);
+  fleet_run (fleet, 500);
+  ck_assert_int_eq (store.last, PLATFORM_RENEW);
+  ck_assert (lease_valid (lease));
+  store.era = 2;
+  fleet_run (fleet, 500);
+  ck_assert_int_eq (store.last, PLATFORM_LEASE);
+  lease_free (lease);
+}
+
+/* Guards against a lost registration, whose lease is gone too.  */
+UNIT_TEST (test_all_hosts_are_listed_after_the_store_was_restored)
+{
+  size_t count;
+  fleet_store_copy (fleet);
+  for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
+    {
+      fleet_host_kill (fleet_host (fleet, i));
+      fleet_host_start (fleet_host (fleet, i));
+      fleet_run (fleet, 300);
+    }
+  fleet_store_restore (fleet);
+  fleet_run (fleet, 3 * ROSTER_HOST_LEASE_MS);
+  for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
+    {
+      hosts_list (fleet_host (fleet, i)->others, &count);
+      ck_assert_uint_eq (count, FLEET_DEFAULT_HOSTS - 1);
+    }
+}
+
 /* A promotion would discard the commits that no replica has received.  */
 UNIT_TEST (test_a_primary_is_not_replaced_by_replicas_that_lag)
 {
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -222,6 +222,35 @@
   ck_assert_uint_eq (store_response (PLATFORM_RENEW, 404, "").reply.era, 0);
 }
 
+/* A restored store gives its revisions out again.  */
+UNIT_PLAIN (test_an_index_is_higher_in_a_later_era)
+{
+  static const char body[]
+      = "{\"items\":[{\"key\":\"a\",\"value\":\"\",\"revision\":7,"
+        "\"created\":4}],\"as_of\":9}";
+  uint64_t before = 0;
+  for (int era = 1; era < 4; era++)
+    {
+      struct kv_response response;
+      char header[8];
+      snprintf (header, sizeof header, "%d", era);
+      store_codec.parse (&response, PLATFORM_LIST, 200, header, body,
+                         strlen (body));
+      ck_assert_uint_gt (response.items[0].created, before);
+      ck_assert_uint_gt (response.items[0].index, response.items[0].created);
+      ck_assert_uint_gt (response.reply.index, response.items[0].index);
+      ck_assert_uint_eq (platform_index_revision (response.reply.index), 9);
+      before = response.reply.index;
+      kv_response_clear (&response);
+    }
+  struct platform_call call
+      = { .kind = PLATFORM_WATCH, .key = "", .wait_index = before };
+  struct kv_request built;
+  ck_assert (store_codec.build (&built, &call));
+  ck_assert_ptr_nonnull (strstr (built.uri, "&after=9&"));
+  kv_request_clear (&built);
+}
+
 UNIT_PLAIN (test_write_contains_expected_revisions)
 {
   struct platform_write write = {
