--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -386,7 +386,7 @@
       fleet_run (fleet, 300);
     }
   fleet_store_restore (fleet);
-  fleet_run (fleet, 3 * ROSTER_HOST_LEASE_MS);
+  fleet_run (fleet, (clk_ms)3 * ROSTER_HOST_LEASE_MS);
   for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
     {
       hosts_list (fleet_host (fleet, i)->others, &count);
