Hosts write their secret again when a restored store has lost it

Registrations, reports and the duty are written again, but the secret of the hosts was only written by a host that became the holder of the duty, and then a new one.

Callers would have seen: after a restoration from a copy that is older than the secret, hosts that start afterwards can't talk to the others: no forwarding, no relays, no direct reports, until all hosts have been replaced.

Change: a host keeps the secret, writes it again when the key disappears, and makes a new one only if it knows none.

Open: a host that starts and gets the duty before any other host has read the restored store still makes a new one.

--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -254,19 +254,22 @@
       || length != sizeof secret)
     return;
   roster->has_secret = true;
+  memcpy (roster->secret, secret, sizeof secret);
   roster->secret_known (roster->arg, secret);
 }
 
-/* Generates the secret if the store has none.  */
+/* Writes the secret if the store has none: the one that this host knows, or
+   else a new one.  */
 static void
 ensure_secret (struct roster *roster)
 {
-  uint8_t secret[ROSTER_SECRET_BYTES];
+  uint8_t fresh[ROSTER_SECRET_BYTES];
   char text[2 * ROSTER_SECRET_BYTES + 1];
   if (roster_find_key (roster, SECRET_KEY) != NULL)
     return;
-  randombytes_buf (secret, sizeof secret);
-  sodium_bin2hex (text, sizeof text, secret, sizeof secret);
+  randombytes_buf (fresh, sizeof fresh);
+  sodium_bin2hex (text, sizeof text,
+                  roster->has_secret ? roster->secret : fresh, sizeof fresh);
   roster_write_key (roster, NULL, SECRET_KEY, text, 0, ignore_reply, NULL);
 }
 
@@ -309,6 +312,7 @@
   char own[KEY_BYTES];
   own_host_key (roster, own);
   bool was_own = strcmp (key->name, own) == 0;
+  bool was_secret = strcmp (key->name, SECRET_KEY) == 0;
   roster->report_keys -= is_report_key (key->name);
   HASH_DEL (roster->keys, key);
   free (key);
@@ -317,6 +321,10 @@
   /* The removed registration may be that of an earlier process.  */
   if (was_own)
     register_host (roster);
+  /* Lost with a restoration of the store: the holder of the duty may be a host
+     that does not know it.  */
+  if (was_secret && roster->has_secret)
+    ensure_secret (roster);
   if (duty)
     duty_changed (roster);
 }
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -70,6 +70,7 @@
   void (*secret_known) (void *arg, const uint8_t *secret);
   void *arg;
   bool has_secret;
+  uint8_t secret[ROSTER_SECRET_BYTES];
   bool store_refuses; /* the last call was refused or timed out */
   struct suspicions *suspicions;
   struct hosts *hosts;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -94,7 +94,8 @@
   char name[NAME_BYTES];
   char zone[NAME_BYTES];
   bool running;
-  uint64_t incarnation; /* increases with each start */
+  uint64_t incarnation;                /* increases with each start */
+  uint8_t secret[ROSTER_SECRET_BYTES]; /* read from the store */
   struct log *log;
   struct kernel *kernel;
   struct rng rng;
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -257,7 +257,7 @@
 open_peers (void *arg, const uint8_t *secret)
 {
   struct fleet_host *host = arg;
-  (void)secret;
+  memcpy (host->secret, secret, sizeof host->secret);
   hosts_set_port (host->others, &host->peers);
 }
 
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -374,6 +374,25 @@
   lease_free (lease);
 }
 
+/* Guards against hosts that can't talk to each other: a new secret was made
+   for one that a restored store had lost.  */
+UNIT_TEST (test_the_secret_is_kept_when_the_store_is_restored)
+{
+  fleet_free (fleet);
+  fleet = fleet_new (7, FLEET_DEFAULT_HOSTS);
+  fleet_store_copy (fleet);
+  fleet_run (fleet, SETTLE_MS);
+  fleet_store_restore (fleet);
+  fleet_run (fleet, 3000);
+  struct fleet_host *host = fleet_host (fleet, 1);
+  fleet_host_kill (host);
+  memset (host->secret, 0, sizeof host->secret);
+  fleet_host_start (host);
+  fleet_run (fleet, 3000);
+  ck_assert_mem_eq (host->secret, fleet_host (fleet, 2)->secret,
+                    sizeof host->secret);
+}
+
 /* Guards against a lost registration, whose lease is gone too.  */
 UNIT_TEST (test_all_hosts_are_listed_after_the_store_was_restored)
 {
