The store's stand-in can be restored from a copy; leases in it can end

Change: fleet_standin takes a copy and is restored from it: what was written since is lost, revisions and ids of leases are given out again, pending watches are cut, a watch from a revision that it doesn't have gets 410, an unknown lease gets 404, Store-Era is in all answers and rises, and the instances and the operator write again.

--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -11,6 +11,12 @@
        crash  closes the listener and all connections of the instance
        back   restarts a crashed instance on its old port
        drain  publishes the instance as draining
+     POST /fault {"kind": KIND}
+       copy     takes a copy of the store
+       restore  restores the store from the copy: writes and leases since then
+                are lost, revisions and ids of leases are given out again,
+                pending watches are cut, and Store-Era rises; the instances
+                and the operator write again what they wrote
      GET /state  the leader, its term and the number of writes so far, as JSON
 
    Instances share one set of rows, so replicas have no lag.  */
@@ -36,6 +42,7 @@
 
 #define INSTANCES 3
 #define KEY_LIMIT 256
+#define LEASE_LIMIT 256
 #define PROMOTION_DELAY_US 100000 /* from the call to the change of roles */
 #define GROUP "books"
 #define DATABASE "ledger"
@@ -50,6 +57,17 @@
   bool removed; /* kept, since watches report removed keys */
 };
 
+/* The contents of the store.  */
+struct store
+{
+  struct store_entry keys[KEY_LIMIT];
+  size_t key_count;
+  json_int_t leases[LEASE_LIMIT];
+  size_t lease_count;
+  json_int_t next_lease;
+  uint64_t revision;
+};
+
 /* A watch call that waits for a change below its prefix.  */
 struct watch
 {
@@ -87,10 +105,9 @@
 static uint64_t term = 1;
 static uint64_t number; /* of writes so far; log position within the term */
 static char values[64][64]; /* of items "0" to "63" */
-static struct store_entry keys[KEY_LIMIT];
-static size_t key_count;
-static uint64_t revision = 1;
-static json_int_t next_lease = 100;
+static struct store store = { .revision = 1, .next_lease = 100 };
+static struct store copy;
+static uint64_t era = 1; /* of the store */
 static struct watch *watches;
 static size_t promotion_target;
 
@@ -99,9 +116,9 @@
 static struct store_entry *
 find_key (const char *key)
 {
-  for (size_t i = 0; i < key_count; i++)
-    if (strcmp (keys[i].key, key) == 0)
-      return &keys[i];
+  for (size_t i = 0; i < store.key_count; i++)
+    if (strcmp (store.keys[i].key, key) == 0)
+      return &store.keys[i];
   return NULL;
 }
 
@@ -129,19 +146,39 @@
   json_decref (body);
 }
 
+/* Replies with the header that all answers of the store have.  */
+static void
+reply_store (struct evhttp_request *request, int status, json_t *body)
+{
+  char *text = mem_printf ("%" PRIu64, era);
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Store-Era",
+                     text);
+  free (text);
+  reply_json (request, status, body);
+}
+
 /* Returns the entries below PREFIX changed after AFTER_REVISION; removed ones
    only for a watch.  */
 static json_t *
 collect_entries (const char *prefix, uint64_t after_revision, bool watch)
 {
   json_t *array = json_array ();
-  for (size_t i = 0; i < key_count; i++)
-    if (strncmp (keys[i].key, prefix, strlen (prefix)) == 0
-        && keys[i].revision > after_revision && (watch || !keys[i].removed))
-      json_array_append_new (array, entry_json (&keys[i]));
+  for (size_t i = 0; i < store.key_count; i++)
+    if (strncmp (store.keys[i].key, prefix, strlen (prefix)) == 0
+        && store.keys[i].revision > after_revision
+        && (watch || !store.keys[i].removed))
+      json_array_append_new (array, entry_json (&store.keys[i]));
   return array;
 }
 
+static void
+watch_free (struct watch *watch)
+{
+  DL_DELETE (watches, watch);
+  event_free (watch->timeout);
+  free (watch);
+}
+
 /* Answers and frees WATCH.  Returns false, without an answer, if there are no
    events and EVEN_IF_EMPTY is not set.  */
 static bool
@@ -154,12 +191,10 @@
       json_decref (events);
       return false;
     }
-  reply_json (watch->request, 200,
-              json_pack ("{s:o, s:I}", "events", events, "as_of",
-                         (json_int_t)revision));
-  DL_DELETE (watches, watch);
-  event_free (watch->timeout);
-  free (watch);
+  reply_store (watch->request, 200,
+               json_pack ("{s:o, s:I}", "events", events, "as_of",
+                          (json_int_t)store.revision));
+  watch_free (watch);
   return true;
 }
 
@@ -175,20 +210,20 @@
 put_key (const char *key, const char *value, json_int_t lease)
 {
   struct store_entry *entry = find_key (key);
-  if (entry == NULL && key_count == KEY_LIMIT)
+  if (entry == NULL && store.key_count == KEY_LIMIT)
     abort ();
   if (entry == NULL)
     {
-      entry = &keys[key_count++];
+      entry = &store.keys[store.key_count++];
       snprintf (entry->key, sizeof entry->key, "%s", key);
       entry->removed = true;
     }
-  revision++;
+  store.revision++;
   if (entry->removed)
-    entry->created = revision;
+    entry->created = store.revision;
   free (entry->value);
   entry->value = mem_strdup (value);
-  entry->revision = revision;
+  entry->revision = store.revision;
   entry->lease = lease;
   entry->removed = false;
 }
@@ -199,7 +234,7 @@
   if (entry == NULL || entry->removed)
     return;
   entry->removed = true;
-  entry->revision = ++revision;
+  entry->revision = ++store.revision;
 }
 
 static void
@@ -210,6 +245,19 @@
   free (value);
 }
 
+/* Writes the configuration, as the operator does.  */
+static void
+write_config (void)
+{
+  put_text ("op/config",
+            "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"" DATABASE
+            "\",\"kind\":\"read_your_writes\",\"timeout_ms\":1000,"
+            "\"priority\":1,\"service\":\"" GROUP
+            "\",\"max_staleness_ms\":2000}],\"services\":[{\"name\":\"" GROUP
+            "\",\"max_conns\":40,\"sync_replicas\":0}],\"limits\":{"
+            "\"tx_idle_ms\":3000}}");
+}
+
 /* Writes the records of the instances, as the platform lists them.  */
 static void
 publish_instances (void)
@@ -239,12 +287,43 @@
                      evbuffer_get_length (input), 0, NULL);
 }
 
+static json_int_t *
+find_lease (json_int_t lease)
+{
+  for (size_t i = 0; i < store.lease_count; i++)
+    if (store.leases[i] == lease)
+      return &store.leases[i];
+  return NULL;
+}
+
+static void
+create_lease (struct evhttp_request *request)
+{
+  if (store.lease_count == LEASE_LIMIT)
+    abort ();
+  store.leases[store.lease_count++] = store.next_lease;
+  reply_store (request, 200, json_pack ("{s:I}", "lease", store.next_lease++));
+}
+
+static void
+end_lease (struct evhttp_request *request, json_int_t lease)
+{
+  json_int_t *found = find_lease (lease);
+  for (size_t i = 0; i < store.key_count; i++)
+    if (store.keys[i].lease == lease)
+      remove_entry (&store.keys[i]);
+  if (found != NULL)
+    *found = store.leases[--store.lease_count];
+  reply_store (request, 200, json_object ());
+  answer_changed_watches ();
+}
+
 static void
 on_txn (struct evhttp_request *request)
 {
   json_t *body = read_body (request), *row;
   size_t i;
-  bool matches = true;
+  bool matches = true, leased = true;
   json_array_foreach (json_object_get (body, "expected"), i, row)
   {
     const struct store_entry *entry
@@ -255,6 +334,12 @@
               && revision_found
                      == json_integer_value (json_object_get (row, "revision"));
   }
+  json_array_foreach (json_object_get (body, "set_keys"), i, row)
+  {
+    json_int_t lease = json_integer_value (json_object_get (row, "lease"));
+    leased = leased && (lease == 0 || find_lease (lease) != NULL);
+  }
+  matches = matches && leased;
   json_array_foreach (json_object_get (body, "set_keys"), i, row) if (matches)
       put_key (json_string_value (json_object_get (row, "key")),
                json_string_value (json_object_get (row, "value")),
@@ -262,8 +347,11 @@
   json_array_foreach (json_object_get (body, "remove"), i, row) if (matches)
       remove_entry (find_key (json_string_value (row)));
   json_decref (body);
-  reply_json (request, matches ? 200 : 412,
-              json_pack ("{s:I}", "revision", (json_int_t)revision));
+  reply_store (request,
+               !leased   ? 404
+               : matches ? 200
+                         : 412,
+               json_pack ("{s:I}", "revision", (json_int_t)store.revision));
   answer_changed_watches ();
 }
 
@@ -289,7 +377,12 @@
             evhttp_find_header (query, "prefix"));
   watch->timeout = evtimer_new (base, on_watch_timeout, watch);
   DL_APPEND (watches, watch);
-  if (!watch_reply (watch, false))
+  if (watch->after_revision > store.revision)
+    {
+      reply_store (request, 410, json_object ());
+      watch_free (watch);
+    }
+  else if (!watch_reply (watch, false))
     evtimer_add (watch->timeout, &timeout);
 }
 
@@ -303,12 +396,12 @@
   (void)arg;
   evhttp_parse_query_str (text != NULL ? text : "", &query);
   if (strcmp (path, "/kv-range") == 0)
-    reply_json (
+    reply_store (
         request, 200,
         json_pack (
             "{s:o, s:b, s:I}", "items",
             collect_entries (evhttp_find_header (&query, "prefix"), 0, false),
-            "has_more", 0, "as_of", (json_int_t)revision));
+            "has_more", 0, "as_of", (json_int_t)store.revision));
   else if (strcmp (path, "/kv-watch") == 0)
     on_watch (request, &query);
   else if (strcmp (path, "/kv-txn") == 0)
@@ -318,22 +411,18 @@
       const struct store_entry *entry
           = find_key (evhttp_find_header (&query, "key"));
       bool found = entry != NULL && !entry->removed;
-      reply_json (request, found ? 200 : 404,
-                  found ? entry_json (entry) : json_object ());
+      reply_store (request, found ? 200 : 404,
+                   found ? entry_json (entry) : json_object ());
     }
   else if (strcmp (path, "/kv-lease") == 0)
-    reply_json (request, 200,
-                json_pack ("{s:I}", "lease", (json_int_t)next_lease++));
+    create_lease (request);
   else if (strncmp (path, "/kv-lease-end/", 14) == 0)
-    {
-      for (size_t i = 0; i < key_count; i++)
-        if (keys[i].lease == atoll (path + 14))
-          remove_entry (&keys[i]);
-      reply_json (request, 200, json_object ());
-      answer_changed_watches ();
-    }
+    end_lease (request, atoll (path + 14));
+  else if (strncmp (path, "/kv-keep/", 9) == 0)
+    reply_store (request, find_lease (atoll (path + 9)) != NULL ? 200 : 404,
+                 json_object ());
   else
-    reply_json (request, 200, json_object ());
+    reply_store (request, 404, json_object ());
   evhttp_clear_headers (&query);
 }
 
@@ -522,6 +611,44 @@
   reply_json (request, accepted ? 200 : 409, json_object ());
 }
 
+/* Replaces the contents TO by those of FROM.  */
+static void
+copy_store (struct store *to, const struct store *from)
+{
+  for (size_t i = 0; i < to->key_count; i++)
+    free (to->keys[i].value);
+  *to = *from;
+  for (size_t i = 0; i < to->key_count; i++)
+    to->keys[i].value = mem_strdup (from->keys[i].value);
+}
+
+static void
+restore_store (void)
+{
+  copy_store (&store, &copy);
+  era++;
+  while (watches != NULL)
+    {
+      reply_store (watches->request, 503, json_object ());
+      watch_free (watches);
+    }
+  write_config ();
+  publish_instances ();
+}
+
+/* Returns whether KIND is a fault of the store.  */
+static bool
+inject_store_fault (const char *kind)
+{
+  if (strcmp (kind, "copy") == 0)
+    copy_store (&copy, &store);
+  else if (strcmp (kind, "restore") == 0)
+    restore_store ();
+  else
+    return false;
+  return true;
+}
+
 static int
 on_control (void *arg, const char *path, json_t *body, char **answer)
 {
@@ -535,10 +662,12 @@
                             leader, term, number);
       return HTTP_OK;
     }
-  if (json_unpack (body, "{s:I, s:s}", "instance", &index, "kind", &kind) != 0
+  if (json_unpack (body, "{s?I, s:s}", "instance", &index, "kind", &kind) != 0
       || index < 0 || index >= INSTANCES)
     return HTTP_BADREQUEST;
   struct instance *instance = &instances[index];
+  if (inject_store_fault (kind))
+    return HTTP_OK;
   if (strcmp (kind, "crash") == 0 && !instance->crashed)
     crash_instance (instance);
   else if (strcmp (kind, "back") == 0 && instance->crashed)
@@ -573,7 +702,7 @@
 {
   uint16_t control;
   base = event_base_new ();
-  struct evhttp *store = evhttp_new (base), *promote = evhttp_new (base);
+  struct evhttp *kv = evhttp_new (base), *promote = evhttp_new (base);
   struct evhttp *controls
       = standin_control_new (base, on_control, NULL, &control);
   for (size_t i = 0; i < INSTANCES; i++)
@@ -581,15 +710,9 @@
       snprintf (instances[i].id, sizeof instances[i].id, "i-%zu", i);
       start_instance (&instances[i], 0);
     }
-  put_text ("op/config",
-            "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"" DATABASE
-            "\",\"kind\":\"read_your_writes\",\"timeout_ms\":1000,"
-            "\"priority\":1,\"service\":\"" GROUP
-            "\",\"max_staleness_ms\":2000}],\"services\":[{\"name\":\"" GROUP
-            "\",\"max_conns\":40,\"sync_replicas\":0}],\"limits\":{"
-            "\"tx_idle_ms\":3000}}");
+  write_config ();
   publish_instances ();
-  printf ("store=%u promote=%u control=%u\n", start_http (store, on_store),
+  printf ("store=%u promote=%u control=%u\n", start_http (kv, on_store),
           start_http (promote, on_promote), control);
   fflush (stdout);
   standin_run (base);
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -268,6 +268,40 @@
   stop_host ();
 }
 
+/* Reads the host's log up to a line that contains all of WORDS.  */
+static void
+await_log (const char *const words[], size_t count)
+{
+  char line[1024];
+  for (int i = 0; i < LOG_LINE_LIMIT; i++)
+    {
+      size_t found = 0;
+      ck_assert_ptr_nonnull (fgets (line, sizeof line, host_log));
+      while (found < count && strstr (line, words[found]) != NULL)
+        found++;
+      if (found == count)
+        return;
+    }
+  ck_abort_msg ("the host logged no line with %s", words[0]);
+}
+
+/* Guards against a host that follows a history that the store has lost.  */
+UNIT_TEST (test_announcements_are_read_after_the_store_was_restored)
+{
+  static const char *const restored[] = { "event=store_restored", "era=2" };
+  static const char *const leaving[]
+      = { "event=instance ", "instance=i-1", "state=draining" };
+  inject_fault ("{\"kind\":\"copy\"}");
+  inject_fault ("{\"instance\":2,\"kind\":\"drain\"}");
+  inject_fault ("{\"kind\":\"restore\"}");
+  await_log (restored, 2);
+  inject_fault ("{\"instance\":1,\"kind\":\"drain\"}");
+  await_log (leaving, 3);
+  int fd = start_session ();
+  ck_assert_ptr_nonnull (strstr (query (fd, "WRITE 1 a"), "COMPLETE i-0."));
+  close (fd);
+}
+
 UNIT_TEST (test_crashed_primary_is_replaced)
 {
   int fd = start_session ();
