Log a configuration that is ignored since a later one is known

Cause: of the hypotheses on configurations in a restored store, one is that the copy's version replaces a later one, and nothing showed that a host had been offered an older version.

Callers see nothing of it.

Change: config_older reports the version and the known one.

Result: together with config_in_force, store_restored and start, the logs tell the three hypotheses apart.

--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -80,6 +80,10 @@
 catalog_set_config (struct catalog *catalog, struct catalog_config *config)
 {
   struct kernel *kernel = catalog->base.kernel;
+  if (config->version < catalog->config.version)
+    log_event (kernel_log (kernel), LOG_NOTICE, "config_older",
+               LOG_U ("version", config->version),
+               LOG_U ("known", catalog->config.version));
   if (config->version <= catalog->config.version)
     {
       catalog_config_clear (config);
