Tests of configurations in a restored store

The change was written again at a revision that the hosts' watch had passed already, so it was never read.

Change: the simulated operator changes the configuration, and a check compares each host in touch with what the store has confirmed FLEET_APPLY_MS before, and with what the host itself had. Three tests, one of them with relays, and the schedules with a restored store draw changes of the configuration too.

--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -46,6 +46,9 @@
 /* Time for which an instance serves after it has announced that it leaves.  No
    new work may reach it later.  */
 #define FLEET_DRAIN_MS 7000
+/* Time within which a configuration is in force after the store has confirmed
+   it.  */
+#define FLEET_APPLY_MS 3000
 /* Guarantees with a time limit hold for a host that, like the store, has been
    without disturbance for this long.  */
 #define FLEET_TOUCH_MS 4000
@@ -96,6 +99,7 @@
   bool running;
   uint64_t incarnation;                /* increases with each start */
   uint8_t secret[ROSTER_SECRET_BYTES]; /* read from the store */
+  uint64_t config_seen;                /* version at the last tick */
   struct log *log;
   struct kernel *kernel;
   struct rng rng;
@@ -143,6 +147,9 @@
 /* Lets the instances write their current entries to the store.  */
 void fleet_publish (struct fleet *fleet);
 
+/* Lets the operator write a configuration of a higher version.  */
+void fleet_change_config (struct fleet *fleet);
+
 /* Returns whether HOST and the store have been without disturbance for
    FLEET_TOUCH_MS.  */
 bool fleet_in_touch (const struct fleet_host *host);
@@ -243,8 +250,9 @@
   uint32_t connections; /* configured connection limit of an instance */
   struct ktimer tick;
   clk_ms store_disturbed_ms; /* last time of a disturbance of the store */
-  char *config;              /* what the operator wrote last */
+  uint64_t config_version;   /* that the operator wrote last */
   uint64_t config_written;   /* its revision; 0: not written */
+  clk_ms config_acked_ms;    /* when the store first confirmed it */
   struct fleet_store *store;
   struct fleet_oracle *oracle;
   char violation[256];
--- a/tests/fleet/fleet_unit.h
+++ b/tests/fleet/fleet_unit.h
@@ -101,6 +101,26 @@
   raise_revision (4);
 }
 
+/* Lets the operator change the configuration just before the store is restored
+   from a copy.  The hosts that follow the store with delay have not read the
+   change, and are ahead of the revision at which it is written again.  */
+static inline void
+restore_as_configuration_changes (void)
+{
+  fleet_run (fleet, 3000); /* until all hosts watch */
+  fleet_store_copy (fleet);
+  raise_revision (3);
+  fleet_run (fleet, 200);
+  fleet_change_config (fleet);
+  fleet_run (fleet, 20);
+  fleet_store_down (fleet, true);
+  fleet_run (fleet, 300);
+  fleet_store_down (fleet, false);
+  fleet_store_restore (fleet);
+  fleet_publish (fleet);
+  raise_revision (4);
+}
+
 /* Reads through every host for SPAN_MS, without checking the answers.  */
 static inline void
 read_through_all (clk_ms span_ms)
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -148,15 +148,67 @@
   fleet_store_remove (fleet, key);
 }
 
+static json_t *
+route_json (const char *database, const char *kind, clk_ms staleness_ms)
+{
+  return json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:I}", "host", database,
+                    "service", FLEET_GROUP, "kind", kind, "timeout_ms", 1000,
+                    "target_latency_ms", 200, "priority", 0,
+                    "max_staleness_ms", (json_int_t)staleness_ms);
+}
+
+/* Returns the configuration as the operator writes it.  */
+static char *
+print_config (const struct fleet *fleet)
+{
+  json_t *routes = json_array (), *groups = json_array ();
+  json_array_append_new (routes,
+                         route_json (FLEET_DATABASE_PRIMARY, "primary", 0));
+  json_array_append_new (routes,
+                         route_json (FLEET_DATABASE_BOUNDED,
+                                     "bounded_staleness", FLEET_STALENESS_MS));
+  json_array_append_new (routes,
+                         route_json (FLEET_DATABASE_SESSION,
+                                     "read_your_writes", FLEET_STALENESS_MS));
+  /* Only the first group has instances.  */
+  for (int i = 0; i < FLEET_GROUPS; i++)
+    {
+      char name[NAME_BYTES];
+      snprintf (name, sizeof name, i == 0 ? FLEET_GROUP : "group-%d", i);
+      json_array_append_new (
+          groups, json_pack ("{s:s, s:i, s:i}", "name", name, "max_conns",
+                             (int)fleet->connections, "sync_replicas", 0));
+    }
+  json_t *config = json_pack (
+      "{s:I, s:o, s:o, s:{s:i}}", "version", (json_int_t)fleet->config_version,
+      "routes", routes, "services", groups, "limits", "tx_idle_ms", 3000);
+  char *text = json_dumps (config, JSON_COMPACT);
+  json_decref (config);
+  return text;
+}
+
 /* Writes the configuration unless the store has it.  */
 static void
 write_config (void *arg)
 {
   struct fleet *fleet = arg;
-  if (fleet->config_written == 0
-      || fleet_store_find (fleet, "op/config") != fleet->config_written)
-    fleet->config_written
-        = fleet_store_put (fleet, "op/config", fleet->config);
+  if (fleet->config_written != 0
+      && fleet_store_find (fleet, "op/config") == fleet->config_written)
+    return;
+  char *text = print_config (fleet);
+  fleet->config_written = fleet_store_put (fleet, "op/config", text);
+  free (text);
+  if (fleet->config_written != 0 && fleet->config_acked_ms == CLK_NEVER)
+    fleet->config_acked_ms = fleet_now (fleet);
+}
+
+void
+fleet_change_config (struct fleet *fleet)
+{
+  fleet->config_version += 2;
+  fleet->config_written = 0;
+  fleet->config_acked_ms = CLK_NEVER;
+  write_config (fleet);
 }
 
 void
@@ -193,6 +245,28 @@
                   fleet);
 }
 
+/* Checks that HOST has the configuration that the store has confirmed, and
+   does not go back to an earlier one.  */
+static void
+check_config (struct fleet_host *host)
+{
+  struct fleet *fleet = host->fleet;
+  uint64_t version = catalog_config (host->catalog)->version;
+  if (version < host->config_seen)
+    fleet_report_violation (fleet, "%s went from version %llu to %llu",
+                            host->name, (unsigned long long)host->config_seen,
+                            (unsigned long long)version);
+  host->config_seen = version;
+  if (version < fleet->config_version && fleet_in_touch (host)
+      && fleet->config_acked_ms != CLK_NEVER
+      && fleet_now (fleet) - fleet->config_acked_ms > FLEET_APPLY_MS)
+    fleet_report_violation (
+        fleet, "%s has version %llu, %llu was confirmed %lld ms before",
+        host->name, (unsigned long long)version,
+        (unsigned long long)fleet->config_version,
+        (long long)(fleet_now (fleet) - fleet->config_acked_ms));
+}
+
 /* Notes disturbances, and lets the instances write their entries and
    replicate.  */
 static void
@@ -205,6 +279,8 @@
       struct fleet_host *host = &fleet->hosts[i];
       if (!host->running || host->store_cut || host->peers_cut)
         host->disturbed_ms = now_ms;
+      if (host->running)
+        check_config (host);
     }
   if (fleet_store_is_down (fleet))
     fleet_note_store_disturbed (fleet);
@@ -214,45 +290,6 @@
   kernel_timer_set (fleet->kernel, &fleet->tick, now_ms + TICK_MS);
 }
 
-static json_t *
-route_json (const char *database, const char *kind, clk_ms staleness_ms)
-{
-  return json_pack ("{s:s, s:s, s:s, s:i, s:i, s:i, s:I}", "host", database,
-                    "service", FLEET_GROUP, "kind", kind, "timeout_ms", 1000,
-                    "target_latency_ms", 200, "priority", 0,
-                    "max_staleness_ms", (json_int_t)staleness_ms);
-}
-
-/* Returns the configuration as the operator writes it.  */
-static char *
-print_config (const struct fleet *fleet)
-{
-  json_t *routes = json_array (), *groups = json_array ();
-  json_array_append_new (routes,
-                         route_json (FLEET_DATABASE_PRIMARY, "primary", 0));
-  json_array_append_new (routes,
-                         route_json (FLEET_DATABASE_BOUNDED,
-                                     "bounded_staleness", FLEET_STALENESS_MS));
-  json_array_append_new (routes,
-                         route_json (FLEET_DATABASE_SESSION,
-                                     "read_your_writes", FLEET_STALENESS_MS));
-  /* Only the first group has instances.  */
-  for (int i = 0; i < FLEET_GROUPS; i++)
-    {
-      char name[NAME_BYTES];
-      snprintf (name, sizeof name, i == 0 ? FLEET_GROUP : "group-%d", i);
-      json_array_append_new (
-          groups, json_pack ("{s:s, s:i, s:i}", "name", name, "max_conns",
-                             (int)fleet->connections, "sync_replicas", 0));
-    }
-  json_t *config
-      = json_pack ("{s:i, s:o, s:o, s:{s:i}}", "version", 1, "routes", routes,
-                   "services", groups, "limits", "tx_idle_ms", 3000);
-  char *text = json_dumps (config, JSON_COMPACT);
-  json_decref (config);
-  return text;
-}
-
 static void
 open_peers (void *arg, const uint8_t *secret)
 {
@@ -308,6 +345,7 @@
   host->running = true;
   host->incarnation++;
   host->disturbed_ms = fleet_now (fleet);
+  host->config_seen = 0;
   kernel_start (host->kernel);
 }
 
@@ -356,7 +394,8 @@
       instance->gone_ms = CLK_NEVER;
     }
   fleet->instances[0].is_primary = true;
-  fleet->config = print_config (fleet);
+  fleet->config_version = 1;
+  fleet->config_acked_ms = CLK_NEVER;
   fleet->tick = (struct ktimer){ .fire = on_tick, .arg = fleet };
   kernel_timer_set (fleet->kernel, &fleet->tick, START_MS);
   fleet_publish (fleet);
@@ -388,7 +427,6 @@
   fleet_oracle_free (fleet->oracle);
   kernel_free (fleet->kernel);
   log_free (fleet->log);
-  free (fleet->config);
   free (fleet);
 }
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -308,8 +308,11 @@
           = fleet_instance (s->fleet, below (s, FLEET_INSTANCES));
       struct fleet_host *host
           = fleet_host (s->fleet, below (s, s->fleet->host_count));
-      switch (below (s, 5))
+      switch (below (s, 6))
         {
+        case 5:
+          fleet_change_config (s->fleet);
+          break;
         case 0:
           /* An instance without an entry has nothing to announce.  */
           instance->draining = !instance->draining && !instance->unregistered;
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -316,6 +316,15 @@
   read_through_all (FLEET_DRAIN_MS + 2000);
 }
 
+/* Guards against CONFIG: a change in a restored store, where hosts follow
+   relays.  */
+UNIT_TEST (test_hosts_behind_relays_read_a_change_of_a_restored_store)
+{
+  use_large_fleet ();
+  restore_as_configuration_changes ();
+  fleet_run (fleet, FLEET_TOUCH_MS + 1000);
+}
+
 UNIT_PLAIN (test_hosts_serve_as_many_groups_as_the_connections_allow)
 {
   ck_assert_uint_eq (placement_width (72, 17, 3), 3);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -322,6 +322,31 @@
   ck_assert_uint_gt (fleet_token (fleet), before);
 }
 
+/* Guards against CONFIG: a confirmed change that a restored store had lost was
+   not read when it was written again.  */
+UNIT_TEST (test_a_confirmed_change_is_in_force_after_the_store_was_restored)
+{
+  restore_as_configuration_changes ();
+  fleet_run (fleet, FLEET_TOUCH_MS + 1000);
+}
+
+/* Guards against CONFIG: the copy has an older version than the hosts.  */
+UNIT_TEST (test_a_restored_configuration_takes_no_change_back)
+{
+  fleet_store_copy (fleet);
+  fleet_change_config (fleet);
+  fleet_run (fleet, 2000);
+  fleet_store_restore (fleet);
+  fleet_run (fleet, 50);
+  for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
+    ck_assert_uint_eq (
+        catalog_config (fleet_host (fleet, i)->catalog)->version,
+        fleet->config_version);
+  fleet_run (fleet, 3000);
+  fleet_change_config (fleet);
+  fleet_run (fleet, FLEET_TOUCH_MS + FLEET_APPLY_MS);
+}
+
 /* A store that answers each call at once, in the era ERA.  */
 struct fake_store
 {
