--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -6,6 +6,7 @@
 #include <utlist.h>
 
 #include "kernel/mem.h"
+#include "kernel/mutant.h"
 
 void
 group_subscribe (struct group *group, struct group_subscriber *subscriber)
@@ -467,7 +468,7 @@
 {
   const struct instance_entry *entry = backend_entry (backend);
   clk_ms span_ms = group->groups->options.drain_ms - GROUP_DRAIN_MARGIN_MS;
-  return !entry->draining
+  return !entry->draining || MUTANT (serve_while_leaving)
          || group_now (group) - entry->leaving_since_ms < span_ms;
 }
 
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "kernel/mem.h"
+#include "kernel/mutant.h"
 #include "kernel/text.h"
 #include "proxy/relay.h"
 
@@ -234,7 +235,8 @@
 is_interrupted (struct mirror *mirror, const struct platform_reply *reply)
 {
   bool continues = !mirror->listing || mirror->after != NULL;
-  return continues && is_restored (mirror, reply->era);
+  return continues && is_restored (mirror, reply->era)
+         && !MUTANT (watch_across_eras);
 }
 
 static void
