The pages of a listing date an announcement by the listing before

Cause: the time of a listing's first page counted as the time at which the contents were known to be current, so an announcement on its second page was taken for one that was made between the two.

Callers would have seen: DRAIN from a host that starts while a primary leaves without a successor, where a listing has more than one page.

Change: contents are current once a listing has ended, as of its first page. The mirror keeps the latest known era, so a listing whose first page is the first reply of a later era is noted as a restoration too. The histogram leaving_instance_ms had no label, which its printed form needs.

--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -35,6 +35,7 @@
   PLATFORM_WATCH    /* changes below a prefix after wait_index */
 };
 
+/* Bits of an index that contain the revision.  */
 #define PLATFORM_REVISION_BITS 40
 
 static inline uint64_t
--- a/src/proxy/caller_metrics.c
+++ b/src/proxy/caller_metrics.c
@@ -66,7 +66,7 @@
   snprintf (name, sizeof name, "%sposition_age_ms", prefix);
   self->sample_age_ms = metrics_histogram (metrics, name, "read=\"replica\"");
   snprintf (name, sizeof name, "%sleaving_instance_ms", prefix);
-  self->leaving_ms = metrics_histogram (metrics, name, "");
+  self->leaving_ms = metrics_histogram (metrics, name, "work=\"new\"");
 }
 
 void
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -21,8 +21,10 @@
   bool listing;
   char *after;       /* last key of the previous page; NULL: first page */
   uint64_t revision; /* changes up to here are applied */
+  uint64_t era;      /* the latest known one of the store */
   clk_ms sent_ms;    /* of the call in flight */
   clk_ms current_ms; /* the contents were current then */
+  clk_ms listed_ms;  /* time of the first page of the listing */
   clk_ms changed_after_ms;
   clk_ms restored_ms;   /* time at which a restoration was noticed */
   clk_ms lost_after_ms; /* what it has lost was written after that */
@@ -69,19 +71,17 @@
                                                 reachable);
 }
 
-/* Returns whether ERA is later than that of the contents.  */
+/* Notes that the store is in ERA, at INDEX (0: not known).  Returns whether it
+   was restored since the last known era.  */
 static bool
-is_restored (const struct mirror *mirror, uint64_t era)
-{
-  return mirror->complete && era > platform_index_era (mirror->revision);
-}
-
-/* Notes that the store was restored: it is in ERA now, at INDEX (0: not
-   known).  */
-static void
-note_restored (struct mirror *mirror, uint64_t era, uint64_t index)
+note_era (struct mirror *mirror, uint64_t era, uint64_t index)
 {
   clk_ms now_ms = kernel_now (mirror->base.kernel);
+  if (era <= mirror->era)
+    return false;
+  mirror->era = era;
+  if (!mirror->complete)
+    return true;
   if (now_ms - mirror->restored_ms >= MIRROR_REWRITTEN_MS)
     mirror->lost_after_ms = mirror->current_ms;
   mirror->restored_ms = now_ms;
@@ -90,6 +90,7 @@
              LOG_U ("before", platform_index_era (mirror->revision)),
              LOG_U ("revision", platform_index_revision (mirror->revision)),
              LOG_U ("as_of", platform_index_revision (index)));
+  return true;
 }
 
 /* Sets the time after which the changes of a reply were made to SINCE_MS, or
@@ -114,7 +115,8 @@
       = !mirror->listing && now_ms - mirror->sent_ms >= MIRROR_DELIVERY_MS;
   date_changes (mirror,
                 pending ? now_ms - MIRROR_DELIVERY_MS : mirror->current_ms);
-  mirror->current_ms = now_ms;
+  if (!mirror->listing)
+    mirror->current_ms = now_ms;
 }
 
 /* The same for a reply of a relay.  */
@@ -208,6 +210,7 @@
     {
       /* Pages are no snapshot: the watch starts from the first page.  */
       mirror->revision = reply->index;
+      mirror->listed_ms = kernel_now (mirror->base.kernel);
       begin_list (mirror);
     }
   apply_items (mirror, reply);
@@ -219,6 +222,7 @@
     }
   mirror->listing = false;
   mirror->complete = true;
+  mirror->current_ms = mirror->listed_ms;
   end_list (mirror);
 }
 
@@ -229,14 +233,11 @@
                                       : MIRROR_WATCH_DELAY_MS;
 }
 
-/* Returns whether REPLY is not the continuation of what was received before,
-   since the store was restored meanwhile.  */
+/* Returns whether the call in flight continues what was received before.  */
 static bool
-is_interrupted (struct mirror *mirror, const struct platform_reply *reply)
+continues (const struct mirror *mirror)
 {
-  bool continues = !mirror->listing || mirror->after != NULL;
-  return continues && is_restored (mirror, reply->era)
-         && !MUTANT (watch_across_eras);
+  return !mirror->listing || mirror->after != NULL;
 }
 
 static void
@@ -244,9 +245,9 @@
 {
   struct mirror *mirror = arg;
   mirror->call = 0;
-  if (is_interrupted (mirror, reply))
+  if (note_era (mirror, reply->era, reply->index) && continues (mirror)
+      && !MUTANT (watch_across_eras))
     {
-      note_restored (mirror, reply->era, reply->index);
       start_list (mirror);
       next_call (mirror);
       return;
@@ -261,8 +262,7 @@
       return;
     }
   /* A reply of an earlier era was delayed.  */
-  if (reply->status != PLATFORM_OK
-      || reply->era < platform_index_era (mirror->revision))
+  if (reply->status != PLATFORM_OK || reply->era < mirror->era)
     {
       if (mirror->failures > 0)
         set_store_reachable (mirror, false);
@@ -299,9 +299,7 @@
 static void
 apply_relay_reply (struct mirror *mirror, const peer_followed *reply)
 {
-  if (is_restored (mirror, platform_index_era (reply->revision)))
-    note_restored (mirror, platform_index_era (reply->revision),
-                   reply->revision);
+  note_era (mirror, platform_index_era (reply->revision), reply->revision);
   date_relay_changes (mirror, reply->reached);
   if (reply->all)
     begin_list (mirror);
@@ -418,11 +416,10 @@
 mirror_note_era (struct mirror *mirror, uint64_t era)
 {
   /* A relay tells of the restoration itself.  */
-  if (!is_restored (mirror, era) || mirror->listing
-      || mirror_follows_relay (mirror))
+  if (!mirror->complete || mirror->listing || mirror_follows_relay (mirror))
     return;
-  note_restored (mirror, era, 0);
-  mirror_restart_list (mirror);
+  if (note_era (mirror, era, 0))
+    mirror_restart_list (mirror);
 }
 
 void
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -17,6 +17,8 @@
 #define VALUE_BYTES 160 /* of a host's write */
 /* Events kept for watches; also the maximum number of keys of a list.  */
 #define HISTORY 4096
+/* Items of a page of a list.  */
+#define PAGE_ITEMS 8
 /* Interval of checks of a watch; a broken connection is detected after at most
    this time.  */
 #define KEEPALIVE_MS 3000
@@ -56,6 +58,7 @@
   uint64_t id;
   struct platform_call call;
   char key[KEY_BYTES];
+  char after[KEY_BYTES];
   char value[VALUE_BYTES];
   char lease[LEASE_BYTES];
   struct platform_write write;
@@ -271,6 +274,14 @@
   };
 }
 
+static int
+by_name (const void *a, const void *b)
+{
+  const struct platform_item *one = a, *other = b;
+  return strcmp (one->key, other->key);
+}
+
+/* Answers with a page of the keys, in the order of their names.  */
 static void
 answer_list (struct store_call *call)
 {
@@ -282,6 +293,16 @@
   for (key = store->keys; key != NULL; key = key->hh.next)
     if (strncmp (key->name, call->key, strlen (call->key)) == 0)
       items[reply.item_count++] = item_of (store, key);
+  qsort (items, reply.item_count, sizeof items[0], by_name);
+  size_t first = 0;
+  while (call->after[0] != '\0' && first < reply.item_count
+         && strcmp (items[first].key, call->after) <= 0)
+    first++;
+  reply.items += first;
+  reply.item_count -= first;
+  reply.more = reply.item_count > PAGE_ITEMS;
+  if (reply.more)
+    reply.item_count = PAGE_ITEMS;
   finish (call, &reply);
 }
 
@@ -523,6 +544,8 @@
   call->arg = arg;
   if (request->key != NULL)
     snprintf (call->key, KEY_BYTES, "%s", request->key);
+  if (request->after != NULL)
+    snprintf (call->after, KEY_BYTES, "%s", request->after);
   if (request->lease != NULL)
     snprintf (call->lease, LEASE_BYTES, "%s", request->lease);
   if (request->write_count > 0)
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -247,6 +247,27 @@
   ck_assert_int_eq (fleet_caller_code (writer), CODE_BUSY);
 }
 
+/* Guards against DRAIN: a host that has just started took an old announcement
+   for a new one, as it came with the second page of its first listing.  */
+UNIT_TEST (test_a_host_that_starts_sends_no_work_to_an_instance_that_leaves)
+{
+  fleet_instance (fleet, 1)->replication_stopped = true;
+  fleet_instance (fleet, 2)->replication_stopped = true;
+  struct fleet_caller *writer
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_instance (fleet, 0)->draining = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, FLEET_DRAIN_MS - FLEET_TOUCH_MS + 1000);
+  fleet_host_kill (fleet_host (fleet, 1));
+  fleet_host_start (fleet_host (fleet, 1));
+  fleet_run (fleet, 100);
+  read_through_all (FLEET_TOUCH_MS + 1000);
+  struct fleet_caller *other
+      = fleet_caller_open (fleet_host (fleet, 1), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (other, STMT_WRITE, "a 1", NULL), CODE_BUSY);
+}
+
 /* Guards against DRAIN: a statement in the queue for a connection was sent
    however long ago the instance had announced that it leaves.  */
 UNIT_TEST (test_a_queued_statement_is_not_sent_to_an_instance_that_has_left)
