A relayed key without a value is not copied from a null pointer

Cause: an empty value arrives from a relay as a null pointer of length 0, and memcpy was called with it, which the language leaves undefined.

Callers saw nothing; no key of the users' store is empty.

Change: nothing is copied then.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -313,7 +313,8 @@
                                     .removed = got->removed };
       /* Subscribers expect NUL-terminated values.  */
       item.value = mem_zalloc (item.value_bytes + 1);
-      memcpy (item.value, got->value.value_val, item.value_bytes);
+      if (item.value_bytes > 0)
+        memcpy (item.value, got->value.value_val, item.value_bytes);
       apply_item (mirror, &item);
       free (item.value);
     }
