A host does not follow a relay of an earlier era

Cause: a host asks a relay for the changes after its revision, which has the era of the store since. A relay of an earlier version of the program compares plain revisions, so to it such a host has all changes, for as long as the relay is not replaced. Found by going through the messages between two versions.

Callers would have seen: during a rolling replacement in a failure domain of twelve hosts or more, hosts of the new version learn neither of configurations nor of instances (CONFIG, DRAIN).

Change: a relay whose revision is of an earlier era than the one that the host knows counts as failed, and the host goes to the store.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -329,11 +329,17 @@
 on_relay_reply (void *arg, enum peer_status status, const peer_message *reply)
 {
   struct mirror *mirror = arg;
-  bool answered = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED;
-  bool reachable = answered && reply->body.peer_body_u.followed.reached;
+  const peer_followed *followed
+      = status == PEER_OK && reply->body.kind == PEER_KIND_FOLLOWED
+            ? &reply->body.peer_body_u.followed
+            : NULL;
+  /* A relay of an earlier version of the program does not know the era.  */
+  bool current = followed != NULL
+                 && platform_index_era (followed->revision) >= mirror->era;
+  bool reachable = current && followed->reached;
   mirror->call = 0;
-  if (answered)
-    apply_relay_reply (mirror, &reply->body.peer_body_u.followed);
+  if (current)
+    apply_relay_reply (mirror, followed);
   if (reachable)
     set_store_reachable (mirror, true);
   else
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -116,7 +116,8 @@
   struct promote_port promote;
   struct hosts *others;
   struct forwarded_sessions *forwarded_sessions;
-  bool peers_cut; /* can't reach any other host */
+  bool peers_cut;   /* can't reach any other host */
+  bool ignores_era; /* as a relay; of a version that compares revisions */
   struct peer_port peers;
   peer_handler peer_handler;
   void *peer_arg;
--- a/tests/fleet/fleet_peers.c
+++ b/tests/fleet/fleet_peers.c
@@ -139,6 +139,17 @@
   struct rpc_body body;
 };
 
+/* Turns a reply of a relay into that of an earlier version, to which the
+   request, with the era in its revision, is ahead.  */
+static void
+strip_era (peer_followed *followed)
+{
+  uint64_t revision = platform_index_revision (followed->revision);
+  bool reached = followed->reached;
+  xdr_free ((xdrproc_t)xdr_peer_followed, followed);
+  *followed = (peer_followed){ .revision = revision, .reached = reached };
+}
+
 static void
 deliver_reply (void *arg)
 {
@@ -148,6 +159,8 @@
   if (call->from != NULL && !call->from->peers_cut && !call->to->peers_cut
       && rpc_body_decode (reply->body.data, reply->body.size_bytes, &message))
     {
+      if (call->to->ignores_era && message.body.kind == PEER_KIND_FOLLOWED)
+        strip_era (&message.body.peer_body_u.followed);
       finish (call, PEER_OK, &message);
       xdr_free ((xdrproc_t)xdr_peer_message, &message);
     }
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -325,6 +325,18 @@
   fleet_run (fleet, FLEET_TOUCH_MS + 1000);
 }
 
+/* Guards against CONFIG and DRAIN while hosts are replaced by ones of this
+   version: to a relay of an earlier one a host that asks with the era of the
+   store has all changes.  */
+UNIT_TEST (test_hosts_do_not_follow_a_relay_of_an_earlier_era)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->ignores_era = is_relay (i);
+  fleet_change_config (fleet);
+  fleet_run (fleet, FLEET_APPLY_MS + 2000);
+}
+
 UNIT_PLAIN (test_hosts_serve_as_many_groups_as_the_connections_allow)
 {
   ck_assert_uint_eq (placement_width (72, 17, 3), 3);
