--- a/src/cli/settings_table.c
+++ b/src/cli/settings_table.c
@@ -17,6 +17,8 @@
 /* Indexed by enum policy.  */
 static const char *const policies[] = { "full", "plain", NULL };
 
+static const char *const truths[] = { "false", "true", NULL };
+
 static const struct setting table[] = {
   { .name = "host",
     .type = SETTING_NAME,
@@ -263,6 +265,15 @@
     .fallback = "7000",
     .help = "Time for which an instance takes new work after it has announced "
             "that it leaves" },
+  { .name = "fencing-enforced",
+    .type = SETTING_CHOICE,
+    .commands = SETTINGS_SERVE,
+    .choices = truths,
+    FIELD (fencing_enforced),
+    .fallback = "true",
+    .help = "Whether the platform refuses orders with an outdated fencing "
+            "token and ends an old primary's lead at once; if not, hosts use "
+            "a primary only under a permission that is renewed" },
 };
 
 _Static_assert(sizeof table / sizeof table[0] <= SETTINGS_LIMIT,
--- a/src/port/consul_request.c
+++ b/src/port/consul_request.c
@@ -58,7 +58,7 @@
 add_operations (json_t *ops, const struct platform_write *write)
 {
   json_t *op;
-  if (!write->erase && write->lease == NULL)
+  if (!write->erase && !write->check && write->lease == NULL)
     {
       op = operation ("cas", write->key, write->expect_index);
       set_value (op, write);
@@ -70,6 +70,8 @@
   else
     op = operation ("check-index", write->key, write->expect_index);
   json_array_append_new (ops, op);
+  if (write->check)
+    return;
   if (write->erase && write->expect_index != 0)
     json_array_append_new (ops, operation ("delete", write->key, 0));
   if (write->erase)
--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -265,6 +265,34 @@
 };
 typedef struct peer_followed peer_followed;
 
+struct peer_permit_group {
+	peer_name group;
+	u_quad_t floor;
+	bool_t closed;
+};
+typedef struct peer_permit_group peer_permit_group;
+
+struct peer_permit {
+	u_quad_t token;
+	u_quad_t process;
+	quad_t stamp;
+	u_quad_t table_version;
+	bool_t has_groups;
+	struct {
+		u_int groups_len;
+		peer_permit_group *groups_val;
+	} groups;
+};
+typedef struct peer_permit peer_permit;
+
+struct peer_permitted {
+	u_quad_t token;
+	u_quad_t process;
+	quad_t stamp;
+	u_quad_t table_version;
+};
+typedef struct peer_permitted peer_permitted;
+
 enum peer_kind {
 	PEER_KIND_NONE = 0,
 	PEER_KIND_EXECUTE = 1,
@@ -279,6 +307,8 @@
 	PEER_KIND_FORWARDED = 10,
 	PEER_KIND_FOLLOW = 11,
 	PEER_KIND_FOLLOWED = 12,
+	PEER_KIND_PERMIT = 13,
+	PEER_KIND_PERMITTED = 14,
 };
 typedef enum peer_kind peer_kind;
 
@@ -296,6 +326,8 @@
 		peer_forwarded forwarded;
 		peer_follow follow;
 		peer_followed followed;
+		peer_permit permit;
+		peer_permitted permitted;
 	} peer_body_u;
 };
 typedef struct peer_body peer_body;
@@ -346,6 +378,9 @@
 extern  bool_t xdr_peer_follow (XDR *, peer_follow*);
 extern  bool_t xdr_peer_item (XDR *, peer_item*);
 extern  bool_t xdr_peer_followed (XDR *, peer_followed*);
+extern  bool_t xdr_peer_permit_group (XDR *, peer_permit_group*);
+extern  bool_t xdr_peer_permit (XDR *, peer_permit*);
+extern  bool_t xdr_peer_permitted (XDR *, peer_permitted*);
 extern  bool_t xdr_peer_kind (XDR *, peer_kind*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
@@ -372,6 +407,9 @@
 extern bool_t xdr_peer_follow ();
 extern bool_t xdr_peer_item ();
 extern bool_t xdr_peer_followed ();
+extern bool_t xdr_peer_permit_group ();
+extern bool_t xdr_peer_permit ();
+extern bool_t xdr_peer_permitted ();
 extern bool_t xdr_peer_kind ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_message ();
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -228,6 +228,36 @@
   peer_item items<PEER_BATCH_LIMIT>;
 };
 
+/* Which primaries of a group may be used: those of term FLOOR or a later one,
+   unless the group is closed.  */
+struct peer_permit_group {
+  peer_name group;
+  unsigned hyper floor;
+  bool closed;
+};
+
+/* Sent by the holder of the promotion duty: the receiver may use primaries for
+   a fixed time from STAMP, which is the time on its own clock that it sent
+   with its last reply.  PROCESS, of that reply too, tells whether the receiver
+   has been restarted since; 0: no reply yet.  GROUPS is the table of
+   the holder, or empty if the receiver has it.  */
+struct peer_permit {
+  unsigned hyper token; /* fencing token of the holder */
+  unsigned hyper process;
+  hyper stamp;
+  unsigned hyper table_version;
+  bool has_groups;
+  peer_permit_group groups<PEER_BATCH_LIMIT>;
+};
+
+/* Reply to peer_permit.  */
+struct peer_permitted {
+  unsigned hyper token; /* the highest that the receiver has seen */
+  unsigned hyper process;
+  hyper stamp;
+  unsigned hyper table_version; /* of the table that it obeys; 0: none of TOKEN */
+};
+
 enum peer_kind {
   PEER_KIND_NONE = 0,
   PEER_KIND_EXECUTE = 1,
@@ -242,7 +272,9 @@
   PEER_KIND_FORWARD = 9,
   PEER_KIND_FORWARDED = 10,
   PEER_KIND_FOLLOW = 11,
-  PEER_KIND_FOLLOWED = 12
+  PEER_KIND_FOLLOWED = 12,
+  PEER_KIND_PERMIT = 13,
+  PEER_KIND_PERMITTED = 14
 };
 
 union peer_body switch (peer_kind kind) {
@@ -268,6 +300,10 @@
   peer_follow follow;
 case PEER_KIND_FOLLOWED:
   peer_followed followed;
+case PEER_KIND_PERMIT:
+  peer_permit permit;
+case PEER_KIND_PERMITTED:
+  peer_permitted permitted;
 case PEER_KIND_REFUSED:
   void;
 case PEER_KIND_NONE:
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -540,6 +540,57 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_permit_group (XDR *xdrs, peer_permit_group *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->floor))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->closed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_permit (XDR *xdrs, peer_permit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->process))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_groups))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->groups.groups_val, (u_int *) &objp->groups.groups_len, PEER_BATCH_LIMIT,
+		sizeof (peer_permit_group), (xdrproc_t) xdr_peer_permit_group))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_permitted (XDR *xdrs, peer_permitted *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->token))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->process))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->stamp))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_kind (XDR *xdrs, peer_kind *objp)
 {
@@ -602,6 +653,14 @@
 		 if (!xdr_peer_followed (xdrs, &objp->peer_body_u.followed))
 			 return FALSE;
 		break;
+	case PEER_KIND_PERMIT:
+		 if (!xdr_peer_permit (xdrs, &objp->peer_body_u.permit))
+			 return FALSE;
+		break;
+	case PEER_KIND_PERMITTED:
+		 if (!xdr_peer_permitted (xdrs, &objp->peer_body_u.permitted))
+			 return FALSE;
+		break;
 	case PEER_KIND_REFUSED:
 		break;
 	case PEER_KIND_NONE:
--- a/src/port/platform_port.h
+++ b/src/port/platform_port.h
@@ -64,6 +64,7 @@
   uint64_t expect_index; /* 0: the key must not exist */
   const char *lease;     /* deletes the key when it ends; NULL for none */
   bool erase;            /* deletes the key */
+  bool check;            /* only compares the index; writes nothing */
 };
 
 struct platform_call
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -110,6 +110,12 @@
       wait_for_group (caller, "the primary is leaving");
       return;
     }
+  enum permits_lack lack = group_lack (group, leader);
+  if (lack != PERMITS_NOTHING)
+    {
+      wait_for_group (caller, permits_lack_name (lack));
+      return;
+    }
   connect_to (caller, leader);
 }
 
@@ -304,6 +310,32 @@
          && !group_takes_work (group, conn_backend (conn));
 }
 
+/* Returns whether CONN belongs to a primary that may not be used now, though
+   the statement starts work there or commits it.  */
+static bool
+lacks_permission (struct caller *caller, const struct backend_conn *conn)
+{
+  const struct group *group = caller_group (caller);
+  bool commits = caller->run.kind == STMT_COMMIT && caller->tx_wrote;
+  return group != NULL && caller_needs_leader (caller)
+         && (starts_work (caller) || commits)
+         && group_lack (group, conn_backend (conn)) != PERMITS_NOTHING;
+}
+
+/* Ends the transaction, or lets the statement wait for a primary.  */
+static void
+handle_lack (struct caller *caller, struct backend_conn *conn)
+{
+  if (!starts_work (caller))
+    {
+      caller_fail (caller, CODE_ABORTED, "the primary may not be used");
+      return;
+    }
+  caller->conn = NULL;
+  conn_release (conn);
+  caller_wait (caller, 0);
+}
+
 /* Sets CONN up for the statement and sends it.  If the set-up needs answers
    first, on_answered sends it.  */
 static void
@@ -317,6 +349,11 @@
       caller_wait (caller, 0);
       return;
     }
+  if (lacks_permission (caller, conn))
+    {
+      handle_lack (caller, conn);
+      return;
+    }
   bool opens = caller_in_transaction (caller) && caller->conn == NULL;
   caller->conn = conn;
   run->stage = RUN_SETTING_UP;
@@ -351,6 +388,17 @@
     caller_retry (caller, code_not_run (code) ? code : CODE_BUSY);
 }
 
+/* Returns whether the statement has committed writes, once it has
+   succeeded.  */
+static bool
+commits (const struct caller *caller)
+{
+  const struct run_request *run = &caller->run;
+  return run->kind == STMT_COMMIT
+             ? caller->tx_wrote
+             : run->writes && !caller_in_transaction (caller);
+}
+
 /* Records the position of a statement that succeeded: as that of the
    session's last commit, and as confirmation of the primary.  */
 static void
@@ -359,28 +407,54 @@
 {
   const struct run_request *run = &caller->run;
   struct group *group = caller_group (caller);
-  bool commits = run->kind == STMT_COMMIT
-                     ? caller->tx_wrote
-                     : run->writes && !caller_in_transaction (caller);
   /* An instance that is no longer the primary refuses writes, and statements
      of a transaction that is not read-only.  */
   bool confirms_leader
-      = commits || run->confirms_leader
+      = commits (caller) || run->confirms_leader
         || (caller_in_transaction (caller) && !caller->tx_read_only
             && run->kind != STMT_COMMIT);
   if (!answer->has_position || group == NULL)
     return;
-  if (commits && position_compare (answer->position, caller->own) > 0)
+  if (commits (caller) && position_compare (answer->position, caller->own) > 0)
     caller->own = answer->position;
   if (confirms_leader)
     group_confirm_leader (group, backend, answer->position, run->sent_ms);
 }
 
+/* Returns whether a commit that succeeded may have run on a primary that had
+   been replaced; it is then lost.  */
+static bool
+is_unproven (struct caller *caller, const struct backend *backend,
+             const struct answer *answer)
+{
+  const struct group *group = caller_group (caller);
+  struct position position
+      = answer->has_position ? answer->position : backend_position (backend);
+  if (!commits (caller) || group == NULL || MUTANT (trust_commit)
+      || group_commit_covered (group, position))
+    return false;
+  metrics_increment (kernel_metrics (caller_kernel (caller)),
+                     "commits_unproven_total");
+  log_event (kernel_log (caller_kernel (caller)), LOG_WARNING,
+             "commit_unproven", LOG_S ("id", caller->run.id),
+             LOG_S ("instance", backend_entry (backend)->id),
+             LOG_U ("term", position.term),
+             LOG_S ("lack", permits_lack_name (group_lack (group, backend))),
+             LOG_I ("spent_ms", caller_now (caller) - caller->run.sent_ms));
+  return true;
+}
+
 static void
 handle_success (struct caller *caller, struct backend *backend,
                 const struct answer *answer)
 {
   struct group *group = caller_group (caller);
+  if (is_unproven (caller, backend, answer))
+    {
+      caller_fail_unknown (caller, CODE_INDOUBT,
+                           "the primary may have been replaced");
+      return;
+    }
   record_position (caller, backend, answer);
   if (group != NULL)
     admission_note_ran (group_admission (group, caller_needs_leader (caller)),
@@ -464,7 +538,8 @@
 }
 
 /* Handles the answer to a BEGIN that was sent to the primary.  Returns false
-   if the primary has not applied its log yet; the statement then waits.  */
+   if the primary may not be used, or has not applied its log yet; the
+   statement then waits.  */
 static bool
 handle_begin (struct caller *caller, struct backend *backend,
               const struct answer *answer)
@@ -474,10 +549,14 @@
     return true;
   group_confirm_leader (group, backend, answer->position,
                         caller->run.begin_sent_ms);
-  if (group_leader_caught_up (group, backend, answer->position))
+  enum permits_lack lack = group_lack (group, backend);
+  bool caught_up = group_leader_caught_up (group, backend, answer->position);
+  if (caught_up && lack == PERMITS_NOTHING)
     return true;
   caller_drop_conn (caller);
-  caller_wait_for_group (caller, "the primary is catching up",
+  caller_wait_for_group (caller,
+                         caught_up ? permits_lack_name (lack)
+                                   : "the primary is catching up",
                          CALLER_CATCH_UP_RETRY_MS);
   return false;
 }
--- a/src/proxy/caller_wait.c
+++ b/src/proxy/caller_wait.c
@@ -103,6 +103,9 @@
       LOG_S ("id", caller->run.id), LOG_S ("why", why),
       LOG_S ("group", caller->run.route.group),
       LOG_S ("primary", leader != NULL ? backend_entry (leader)->id : NULL),
+      LOG_S ("lack", leader != NULL
+                         ? permits_lack_name (group_lack (group, leader))
+                         : NULL),
       LOG_I ("sample_age_ms", sampled_ms != CLK_LONG_AGO
                                   ? caller_now (caller) - sampled_ms
                                   : -1));
@@ -130,6 +133,12 @@
       caller_fail (caller, caller_refusal (caller), "this host is cut off");
       return;
     }
+  if (groups_lapsed (caller->callers->groups))
+    {
+      caller_fail (caller, caller_refusal (caller),
+                   permits_lack_name (PERMITS_ENDED));
+      return;
+    }
   if (left_ms <= 0 || group == NULL)
     {
       caller_fail (caller, caller_refusal (caller), why);
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -37,6 +37,36 @@
     }
 }
 
+void
+groups_notify_all (struct groups *groups)
+{
+  struct group *group, *next;
+  HASH_ITER (hh, groups->table, group, next) { group_notify (group); }
+}
+
+enum permits_lack
+group_lack (const struct group *group, const struct backend *backend)
+{
+  return permits_lack (group->groups->permits, group->settings.name,
+                       backend_position (backend).term);
+}
+
+bool
+group_commit_covered (const struct group *group, struct position position)
+{
+  return permits_covered (group->groups->permits, group->settings.name,
+                          position.term, group_now (group));
+}
+
+bool
+groups_lapsed (const struct groups *groups)
+{
+  const struct permits *permits = groups->permits;
+  clk_ms end_ms = permits_end_ms (permits);
+  return !permits_fenced (permits) && end_ms != CLK_LONG_AGO
+         && kernel_now (groups->base.kernel) - end_ms >= GROUP_LAPSE_MS;
+}
+
 static void
 check_now (struct groups *groups)
 {
@@ -495,6 +525,7 @@
   groups->catalog = (struct catalog *)kernel_find (module->kernel, "catalog");
   groups->placement
       = (struct placement *)kernel_find (module->kernel, "placement");
+  groups->permits = (struct permits *)kernel_find (module->kernel, "permits");
   catalog_watch (groups->catalog,
                  &(struct catalog_watch){ .config = on_config,
                                           .instance = on_instance,
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -3,7 +3,9 @@
    A group consists of one primary and its replicas.  An instance is confirmed
    as the primary at the time at which it accepts a write or a plain BEGIN,
    that is, one that is not read-only; its log position then includes all
-   commits acknowledged before.  The role in the platform's entry of an
+   commits acknowledged before.  Where the platform fences no old primaries,
+   that holds only while this host has the permission to use it (see
+   permits.h).  The role in the platform's entry of an
    instance is only a hint.
 
    This module probes the instances, collects log positions of the primary
@@ -20,6 +22,7 @@
 #include "proxy/admission.h"
 #include "proxy/backend.h"
 #include "proxy/catalog.h"
+#include "proxy/permits.h"
 #include "proxy/samples.h"
 
 /* Interval of the checks of all instances; the shorter one applies while a
@@ -72,6 +75,10 @@
    been read late.  */
 #define GROUP_DRAIN_MARGIN_MS 1000
 
+/* Statements wait for a primary while the permission to use it lacks for less
+   than this, as when the holder of the promotion duty is replaced.  */
+#define GROUP_LAPSE_MS 500
+
 /* Largest number of connections to one instance that a host may open.  */
 #define GROUP_SHARE_LIMIT 8
 /* The same while the number of hosts is not known yet.  */
@@ -159,6 +166,20 @@
 bool group_takes_work (const struct group *group,
                        const struct backend *backend);
 
+/* Notifies the subscribers of all groups.  */
+void groups_notify_all (struct groups *groups);
+
+/* Returns what lacks now to use BACKEND as the primary of GROUP.  */
+enum permits_lack group_lack (const struct group *group,
+                              const struct backend *backend);
+/* Returns whether a commit at POSITION that was answered now ran while no
+   later primary was in use.  */
+bool group_commit_covered (const struct group *group,
+                           struct position position);
+/* Returns whether this host's permission to use primaries ended more than
+   GROUP_LAPSE_MS ago.  */
+bool groups_lapsed (const struct groups *groups);
+
 /* Subscribes SUBSCRIBER to the next change; does nothing if it is subscribed.
  */
 void group_subscribe (struct group *group,
--- a/src/proxy/group_confirm.c
+++ b/src/proxy/group_confirm.c
@@ -16,11 +16,6 @@
    next confirmation of the primary starts another query.  */
 #define QUERY_TIMEOUT_MS 60
 
-/* A newer term seen within this time of the newest sample is the term that
-   follows that of the sample: all positions in it were applied by its
-   primary.  */
-#define NEXT_TERM_MS 3000
-
 void
 group_forget_log (struct group *group, const struct backend *backend)
 {
@@ -72,20 +67,13 @@
 }
 
 /* Determines the position at which the log of BACKEND, the primary, contains
-   all acknowledged commits.  */
+   all acknowledged commits.  A term above that of the newest sample does not
+   tell: there may have been another change of primary since, whose term
+   BACKEND has not reached in its log yet.  */
 static void
-find_caught_up (struct group *group, struct backend *backend,
-                struct position position)
+find_caught_up (struct group *group, struct backend *backend)
 {
-  struct position newest = samples_newest (&group->samples);
-  bool next_term = newest.term > 0 && position.term > newest.term
-                   && group_now (group) - samples_newest_ms (&group->samples)
-                          < NEXT_TERM_MS;
-  if (group->caught_up == backend)
-    return;
-  if (next_term)
-    set_caught_up (group, backend, position);
-  else
+  if (group->caught_up != backend)
     query_state (group, backend);
 }
 
@@ -100,26 +88,34 @@
          && position_compare (position, group->caught_up_at) >= 0;
 }
 
+void
+group_reject_leader (struct group *group, struct backend *backend)
+{
+  group_forget_log (group, backend);
+  if (group->leader == backend)
+    group_set_leader (group, NULL, "refused");
+}
+
 void
 group_confirm_leader (struct group *group, struct backend *backend,
                       struct position position, clk_ms sent_ms)
 {
+  const struct permits *permits = group->groups->permits;
   /* A delayed answer from an earlier term must not replace the primary of a
      newer one.  */
   if (position.term < samples_newest (&group->samples).term)
     return;
+  if (position.term < permits_floor (permits, group->settings.name))
+    {
+      group_reject_leader (group, backend);
+      return;
+    }
   group_set_leader (group, backend, "proven");
-  find_caught_up (group, backend, position);
-  if (!group_leader_caught_up (group, backend, position))
+  find_caught_up (group, backend);
+  if (!group_leader_caught_up (group, backend, position)
+      || !permits_covered (permits, group->settings.name, position.term,
+                           sent_ms))
     return;
   samples_add (&group->samples, position, sent_ms);
   group_notify (group);
 }
-
-void
-group_reject_leader (struct group *group, struct backend *backend)
-{
-  group_forget_log (group, backend);
-  if (group->leader == backend)
-    group_set_leader (group, NULL, "refused");
-}
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -48,6 +48,7 @@
   char zone[NAME_BYTES];
   struct catalog *catalog;
   struct placement *placement;
+  struct permits *permits;
   struct group *table;
   bool hosts_known; /* the number of hosts is known */
   bool monitor;     /* this host monitors all primaries */
--- /dev/null
+++ b/src/proxy/permits.c
@@ -0,0 +1,630 @@
+#include "proxy/permits.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "kernel/mem.h"
+#include "kernel/mutant.h"
+#include "kernel/text.h"
+#include "proxy/group.h"
+#include "proxy/hosts.h"
+#include "proxy/roster.h"
+
+/* A row of the table.  */
+struct permit_group
+{
+  char name[NAME_BYTES];
+  uint64_t floor;
+  bool closed;
+  uint64_t version; /* of the table that closed it; for the holder */
+  UT_hash_handle hh;
+};
+
+/* What the holder knows about another host.  */
+struct grantee
+{
+  struct permits *permits;
+  struct peer_address address;
+  bool listed;      /* registered */
+  uint64_t process; /* of its last reply; 0: none */
+  clk_ms stamp;     /* likewise, by its clock */
+  uint64_t obeys;   /* version of the table; 0: none of this holder */
+  clk_ms replied_ms;
+  clk_ms vouched_ms; /* when the message was sent that it answered last */
+  clk_ms sent_ms;
+  clk_ms until_ms; /* its permission ends before that */
+  uint64_t call;
+  UT_hash_handle hh;
+};
+
+struct permits
+{
+  struct module base;
+  bool fenced;
+  struct hosts *hosts;
+  struct roster *roster;
+  struct groups *groups;
+  struct permit_group *table;
+  uint64_t process; /* distinguishes this process from earlier ones */
+  uint64_t token;   /* the highest that is known */
+  uint64_t obeys;   /* version of the table of TOKEN; 0: none */
+  clk_ms end_ms;
+  bool lapsed; /* the end was logged */
+  /* Of the holder.  */
+  uint64_t held; /* its token; 0: another host holds the duty */
+  uint64_t version;
+  clk_ms taken_ms;
+  clk_ms majority_ms; /* most hosts have answered; or CLK_NEVER */
+  uint64_t hosts_version;
+  struct grantee *grantees;
+  struct ktimer tick;
+};
+
+static clk_ms
+now_ms (const struct permits *permits)
+{
+  return kernel_now (permits->base.kernel);
+}
+
+static struct permit_group *
+find_group (const struct permits *permits, const char *name)
+{
+  struct permit_group *group;
+  HASH_FIND_STR (permits->table, name, group);
+  return group;
+}
+
+static struct permit_group *
+ensure_group (struct permits *permits, const char *name)
+{
+  struct permit_group *group = find_group (permits, name);
+  if (group != NULL)
+    return group;
+  group = mem_zalloc (sizeof *group);
+  if (!text_copy (group->name, sizeof group->name, name))
+    {
+      free (group);
+      return NULL;
+    }
+  HASH_ADD_STR (permits->table, name, group);
+  return group;
+}
+
+bool
+permits_fenced (const struct permits *permits)
+{
+  return permits->fenced;
+}
+
+uint64_t
+permits_floor (const struct permits *permits, const char *group)
+{
+  const struct permit_group *found = find_group (permits, group);
+  return found != NULL ? found->floor : 0;
+}
+
+bool
+permits_closed (const struct permits *permits, const char *group)
+{
+  const struct permit_group *found = find_group (permits, group);
+  return found != NULL && found->closed;
+}
+
+clk_ms
+permits_end_ms (const struct permits *permits)
+{
+  return permits->end_ms;
+}
+
+enum permits_lack
+permits_lack (const struct permits *permits, const char *group, uint64_t term)
+{
+  const struct permit_group *found;
+  if (permits->fenced || MUTANT (ignore_permissions))
+    return PERMITS_NOTHING;
+  found = find_group (permits, group);
+  if (found != NULL && found->closed)
+    return PERMITS_CLOSED;
+  if (found != NULL && term < found->floor)
+    return PERMITS_REPLACED;
+  if (permits->end_ms == CLK_LONG_AGO)
+    return PERMITS_NONE;
+  if (now_ms (permits) >= permits->end_ms - PERMITS_MARGIN_MS
+      && !MUTANT (endless_permission))
+    return PERMITS_ENDED;
+  return PERMITS_NOTHING;
+}
+
+const char *
+permits_lack_name (enum permits_lack lack)
+{
+  static const char *const names[]
+      = { [PERMITS_NOTHING] = "nothing",
+          [PERMITS_NONE] = "no permission yet",
+          [PERMITS_ENDED] = "the permission has ended",
+          [PERMITS_CLOSED] = "the primary is being replaced",
+          [PERMITS_REPLACED] = "the primary was replaced" };
+  return names[lack];
+}
+
+bool
+permits_covered (const struct permits *permits, const char *group,
+                 uint64_t term, clk_ms at_ms)
+{
+  const struct permit_group *found;
+  if (permits->fenced || MUTANT (ignore_permissions))
+    return true;
+  found = find_group (permits, group);
+  if (found != NULL && (found->closed || term < found->floor))
+    return false;
+  return at_ms < permits->end_ms || MUTANT (endless_permission);
+}
+
+/* Extends the permission of this host.  */
+static void
+extend (struct permits *permits, clk_ms from_ms)
+{
+  clk_ms end_ms = from_ms + PERMITS_SPAN_MS;
+  if (end_ms <= permits->end_ms)
+    return;
+  if (permits->lapsed || permits->end_ms == CLK_LONG_AGO)
+    {
+      log_event (kernel_log (permits->base.kernel), LOG_NOTICE,
+                 "permission_gained", LOG_U ("token", permits->token),
+                 LOG_I ("lacked_ms", permits->lapsed
+                                         ? now_ms (permits) - permits->end_ms
+                                         : -1));
+      permits->end_ms = end_ms;
+      permits->lapsed = false;
+      groups_notify_all (permits->groups);
+    }
+  permits->end_ms = end_ms;
+}
+
+/* Notes a higher token: the table that it comes with replaces the present
+   one.  */
+static void
+note_token (struct permits *permits, uint64_t token)
+{
+  if (token <= permits->token)
+    return;
+  permits->token = token;
+  permits->obeys = 0;
+}
+
+static void
+apply_table (struct permits *permits, const peer_permit *permit)
+{
+  struct permit_group *group;
+  for (group = permits->table; group != NULL; group = group->hh.next)
+    group->closed = false;
+  for (u_int i = 0; i < permit->groups.groups_len; i++)
+    {
+      const peer_permit_group *row = &permit->groups.groups_val[i];
+      group = ensure_group (permits, row->group);
+      if (group == NULL)
+        continue;
+      group->closed = row->closed;
+      if (row->floor > group->floor)
+        group->floor = row->floor;
+    }
+  permits->obeys = permit->table_version;
+  groups_notify_all (permits->groups);
+}
+
+static void
+obey (struct permits *permits, const peer_permit *permit)
+{
+  note_token (permits, permit->token);
+  if (permit->has_groups && permit->table_version > permits->obeys)
+    apply_table (permits, permit);
+  if (permit->process == permits->process && permit->table_version != 0
+      && permit->table_version == permits->obeys
+      && permit->stamp <= now_ms (permits))
+    extend (permits, permit->stamp);
+}
+
+static void
+on_permit (void *arg, uint64_t call, const peer_message *message)
+{
+  struct permits *permits = arg;
+  const peer_permit *permit = &message->body.peer_body_u.permit;
+  peer_body body = { .kind = PEER_KIND_PERMITTED };
+  if (!permits->fenced && permit->token != permits->held
+      && permit->token >= permits->token)
+    obey (permits, permit);
+  body.peer_body_u.permitted
+      = (peer_permitted){ .token = permits->token,
+                          .process = permits->process,
+                          .stamp = now_ms (permits),
+                          .table_version = permits->obeys };
+  hosts_reply (permits->hosts, call, &body);
+}
+
+/* The holder of the duty.  */
+
+static clk_ms
+renew_ms (const struct permits *permits)
+{
+  clk_ms span_ms
+      = PERMITS_RENEW_MS
+        + PERMITS_RENEW_PER_HOST_MS * (clk_ms)HASH_COUNT (permits->grantees);
+  return span_ms < PERMITS_RENEW_LIMIT_MS ? span_ms : PERMITS_RENEW_LIMIT_MS;
+}
+
+/* Returns whether two thirds of the registered hosts have answered a message
+   that was sent at SINCE_MS or later.  */
+static bool
+most_answer (const struct permits *permits, clk_ms since_ms)
+{
+  const struct grantee *grantee;
+  size_t listed = 0, answered = 0;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    {
+      listed += grantee->listed;
+      answered += grantee->listed && grantee->vouched_ms >= since_ms;
+    }
+  return 3 * answered >= 2 * listed;
+}
+
+/* Returns whether this host may renew permissions: no other host can hold the
+   duty, or one that does can't have replaced a primary yet.  */
+static bool
+may_renew (const struct permits *permits)
+{
+  uint64_t token;
+  if (permits->held == 0 || !roster_holds_duty (permits->roster, &token)
+      || token != permits->held || permits->token > permits->held)
+    return false;
+  return roster_duty_leased (permits->roster)
+         || most_answer (permits, now_ms (permits) - PERMITS_VOUCH_MS);
+}
+
+static void send_permit (struct grantee *grantee);
+
+static void
+on_permitted (void *arg, enum peer_status status, const peer_message *reply)
+{
+  struct grantee *grantee = arg;
+  struct permits *permits = grantee->permits;
+  grantee->call = 0;
+  if (status != PEER_OK || reply->body.kind != PEER_KIND_PERMITTED)
+    return;
+  const peer_permitted *permitted = &reply->body.peer_body_u.permitted;
+  if (permitted->token > permits->held)
+    {
+      note_token (permits, permitted->token);
+      roster_resign_duty (permits->roster, "a host knows a newer holder");
+      return;
+    }
+  bool first = permitted->process != grantee->process;
+  grantee->process = permitted->process;
+  grantee->stamp = permitted->stamp;
+  grantee->replied_ms = now_ms (permits);
+  grantee->vouched_ms = grantee->sent_ms;
+  grantee->obeys = permitted->table_version;
+  if (first || grantee->obeys != permits->version)
+    send_permit (grantee);
+}
+
+static void
+fill_table (const struct permits *permits, peer_permit *permit,
+            peer_permit_group *rows)
+{
+  struct permit_group *group;
+  permit->has_groups = true;
+  permit->groups.groups_val = rows;
+  for (group = permits->table; group != NULL; group = group->hh.next)
+    rows[permit->groups.groups_len++] = (peer_permit_group){
+      .group = group->name, .floor = group->floor, .closed = group->closed
+    };
+}
+
+static void
+send_permit (struct grantee *grantee)
+{
+  struct permits *permits = grantee->permits;
+  peer_body body = { .kind = PEER_KIND_PERMIT };
+  peer_permit *permit = &body.peer_body_u.permit;
+  if (!may_renew (permits))
+    return;
+  peer_permit_group *rows
+      = mem_zalloc ((HASH_COUNT (permits->table) + 1) * sizeof *rows);
+  *permit = (peer_permit){ .token = permits->held,
+                           .process = grantee->process,
+                           .stamp = grantee->stamp,
+                           .table_version = permits->version };
+  if (grantee->obeys != permits->version)
+    fill_table (permits, permit, rows);
+  /* Its permission counts from its last reply, which it sent before that was
+     received here.  */
+  clk_ms until_ms = grantee->replied_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+  if (grantee->process != 0 && until_ms > grantee->until_ms)
+    grantee->until_ms = until_ms;
+  hosts_cancel (permits->hosts, grantee->call);
+  grantee->sent_ms = now_ms (permits);
+  grantee->call = hosts_call (permits->hosts, &grantee->address, &body,
+                              PERMITS_CALL_TIMEOUT_MS, on_permitted, grantee);
+  free (rows);
+}
+
+static void
+send_all (struct permits *permits)
+{
+  struct grantee *grantee;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    send_permit (grantee);
+}
+
+static struct grantee *
+ensure_grantee (struct permits *permits, const struct other_host *host)
+{
+  struct grantee *grantee;
+  HASH_FIND_STR (permits->grantees, host->address.name, grantee);
+  if (grantee == NULL)
+    {
+      grantee = mem_zalloc (sizeof *grantee);
+      grantee->permits = permits;
+      grantee->replied_ms = grantee->vouched_ms = CLK_LONG_AGO;
+      grantee->sent_ms = grantee->until_ms = CLK_LONG_AGO;
+      memcpy (grantee->address.name, host->address.name, NAME_BYTES);
+      HASH_ADD_STR (permits->grantees, address.name, grantee);
+    }
+  grantee->address = host->address;
+  return grantee;
+}
+
+static void
+free_grantee (struct permits *permits, struct grantee *grantee)
+{
+  hosts_cancel (permits->hosts, grantee->call);
+  HASH_DEL (permits->grantees, grantee);
+  free (grantee);
+}
+
+/* Takes over the list of hosts.  Those that are no longer registered stay
+   while they answer, and until their permission has ended.  */
+static void
+update_grantees (struct permits *permits)
+{
+  size_t count;
+  const struct other_host *others = hosts_list (permits->hosts, &count);
+  struct grantee *grantee, *next;
+  if (permits->hosts_version != hosts_version (permits->hosts))
+    {
+      permits->hosts_version = hosts_version (permits->hosts);
+      for (grantee = permits->grantees; grantee != NULL;
+           grantee = grantee->hh.next)
+        grantee->listed = false;
+      for (size_t i = 0; i < count; i++)
+        ensure_grantee (permits, &others[i])->listed = true;
+    }
+  HASH_ITER (hh, permits->grantees, grantee, next)
+  {
+    if (!grantee->listed && grantee->until_ms < now_ms (permits)
+        && now_ms (permits) - grantee->replied_ms >= PERMITS_FORGET_MS)
+      free_grantee (permits, grantee);
+  }
+}
+
+/* Closes the group of a change of primary that an earlier holder has recorded.
+   It is complete if the holder has opened the group since.  */
+static void
+inherit_record (void *arg, const struct roster_record *record)
+{
+  struct permits *permits = arg;
+  struct permit_group *group = ensure_group (permits, record->group);
+  if (group == NULL || (group->floor >= record->floor && !group->closed))
+    return;
+  group->closed = true;
+  if (record->floor > group->floor)
+    group->floor = record->floor;
+}
+
+/* Returns whether this host holds the duty.  Prepares for it if that is
+   new.  */
+static bool
+check_duty (struct permits *permits)
+{
+  uint64_t token;
+  struct permit_group *group;
+  struct grantee *grantee;
+  if (!roster_holds_duty (permits->roster, &token) || token < permits->token)
+    {
+      permits->held = 0;
+      return false;
+    }
+  if (permits->held == token)
+    return true;
+  note_token (permits, token);
+  permits->held = token;
+  permits->version = 1;
+  permits->taken_ms = now_ms (permits);
+  permits->majority_ms = CLK_NEVER;
+  roster_each_record (permits->roster, inherit_record, permits);
+  for (group = permits->table; group != NULL; group = group->hh.next)
+    group->version = group->closed ? 1 : 0;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    {
+      grantee->obeys = 0;
+      grantee->vouched_ms = CLK_LONG_AGO;
+    }
+  return true;
+}
+
+/* Returns when all permissions that earlier holders have renewed have
+   ended.  */
+static clk_ms
+inherited_end_ms (const struct permits *permits)
+{
+  clk_ms end_ms = permits->taken_ms + ROSTER_OUTAGE_GRACE_MS;
+  if (permits->majority_ms != CLK_NEVER
+      && permits->majority_ms + PERMITS_VOUCH_MS < end_ms)
+    end_ms = permits->majority_ms + PERMITS_VOUCH_MS;
+  return end_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+}
+
+static void
+renew_due (struct permits *permits)
+{
+  clk_ms span_ms = renew_ms (permits);
+  struct grantee *grantee;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    if (grantee->call == 0 && now_ms (permits) - grantee->sent_ms >= span_ms)
+      send_permit (grantee);
+}
+
+static void
+log_lapse (struct permits *permits)
+{
+  if (permits->lapsed || permits->end_ms == CLK_LONG_AGO
+      || now_ms (permits) < permits->end_ms)
+    return;
+  permits->lapsed = true;
+  metrics_increment (kernel_metrics (permits->base.kernel),
+                     "permissions_ended_total");
+  log_event (kernel_log (permits->base.kernel), LOG_WARNING,
+             "permission_ended", LOG_U ("token", permits->token));
+}
+
+static void
+on_tick (void *arg)
+{
+  struct permits *permits = arg;
+  if (check_duty (permits))
+    {
+      update_grantees (permits);
+      if (permits->majority_ms == CLK_NEVER
+          && most_answer (permits, permits->taken_ms))
+        permits->majority_ms = now_ms (permits);
+      if (may_renew (permits))
+        extend (permits, now_ms (permits));
+      renew_due (permits);
+    }
+  log_lapse (permits);
+  kernel_timer_set (permits->base.kernel, &permits->tick,
+                    now_ms (permits) + PERMITS_TICK_MS);
+}
+
+void
+permits_note_duty (struct permits *permits, uint64_t token)
+{
+  if (permits->fenced)
+    return;
+  note_token (permits, token);
+  kernel_timer_set (permits->base.kernel, &permits->tick, now_ms (permits));
+}
+
+static void
+change_group (struct permits *permits, const char *name, uint64_t floor,
+              bool closed)
+{
+  struct permit_group *group;
+  if (permits->fenced || !check_duty (permits))
+    return;
+  group = ensure_group (permits, name);
+  if (group == NULL || (group->closed == closed && group->floor >= floor))
+    return;
+  permits->version++;
+  if (closed && !group->closed)
+    group->version = permits->version;
+  group->closed = closed;
+  if (floor > group->floor)
+    group->floor = floor;
+  log_event (kernel_log (permits->base.kernel), LOG_NOTICE,
+             closed ? "group_closed" : "group_opened", LOG_S ("group", name),
+             LOG_U ("floor", group->floor), LOG_U ("token", permits->held));
+  groups_notify_all (permits->groups);
+  send_all (permits);
+}
+
+void
+permits_close (struct permits *permits, const char *group, uint64_t floor)
+{
+  change_group (permits, group, floor, true);
+}
+
+void
+permits_open (struct permits *permits, const char *group, uint64_t floor)
+{
+  change_group (permits, group, floor, false);
+}
+
+bool
+permits_recalled (const struct permits *permits, const char *group)
+{
+  const struct permit_group *found;
+  const struct grantee *grantee;
+  if (permits->fenced || MUTANT (skip_recall))
+    return true;
+  found = find_group (permits, group);
+  if (found == NULL || !found->closed || permits->held == 0
+      || now_ms (permits) < inherited_end_ms (permits))
+    return false;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    if (grantee->until_ms > now_ms (permits)
+        && grantee->obeys < found->version)
+      return false;
+  return true;
+}
+
+static void
+permits_start (struct module *module)
+{
+  struct permits *permits = (struct permits *)module;
+  permits->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
+  permits->roster = (struct roster *)kernel_find (module->kernel, "roster");
+  permits->groups = (struct groups *)kernel_find (module->kernel, "groups");
+  permits->process = rng_u64 (kernel_rng (module->kernel)) | 1;
+  permits->tick = (struct ktimer){ .fire = on_tick, .arg = permits };
+  hosts_handle (permits->hosts, PEER_KIND_PERMIT, on_permit, permits);
+  if (!permits->fenced)
+    kernel_timer_set (module->kernel, &permits->tick, now_ms (permits));
+}
+
+static void
+permits_free (struct module *module)
+{
+  struct permits *permits = (struct permits *)module;
+  struct permit_group *group, *next_group;
+  struct grantee *grantee, *next;
+  kernel_timer_cancel (module->kernel, &permits->tick);
+  HASH_ITER (hh, permits->grantees, grantee, next)
+  {
+    HASH_DEL (permits->grantees, grantee);
+    free (grantee);
+  }
+  HASH_ITER (hh, permits->table, group, next_group)
+  {
+    HASH_DEL (permits->table, group);
+    free (group);
+  }
+  free (permits);
+}
+
+static const struct module_ops permits_ops
+    = { .start = permits_start, .free = permits_free };
+
+struct permits *
+permits_new (bool fenced)
+{
+  struct permits *permits = mem_zalloc (sizeof *permits);
+  permits->base.ops = &permits_ops;
+  permits->base.name = "permits";
+  permits->fenced = fenced;
+  permits->end_ms = CLK_LONG_AGO;
+  return permits;
+}
+
+struct module *
+permits_module (struct permits *permits)
+{
+  return &permits->base;
+}
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -6,22 +6,34 @@
 #include <uthash.h>
 
 #include "kernel/mem.h"
+#include "kernel/mutant.h"
 #include "kernel/text.h"
 #include "proxy/group.h"
+#include "proxy/permits.h"
 #include "proxy/roster.h"
 #include "proxy/status_query.h"
 
 enum change_stage
 {
   CHANGE_NONE,
+  CHANGE_RECALLING,     /* until no host uses the old primary any more */
   CHANGE_COMPARING,     /* hand-over: checks whether a replica keeps up */
   CHANGE_STEPPING_DOWN, /* hand-over: the old primary steps down */
   CHANGE_QUERYING,      /* queries the positions of the other instances */
-  CHANGE_VERIFYING,     /* verifies that this host still holds the duty */
+  CHANGE_VERIFYING,     /* verifies that this host still holds the duty, and
+                           records the order */
   CHANGE_ORDERED,       /* waits for the platform's answer to the order */
   CHANGE_AWAITED        /* order not refused; waits for the new primary */
 };
 
+/* An instance whose promotion was ordered without an answer.  The order may
+   still take effect until then.  */
+struct floating
+{
+  char id[NAME_BYTES];
+  clk_ms until_ms;
+};
+
 /* State of the change of one group's primary; one for each group.  */
 struct change
 {
@@ -42,6 +54,12 @@
   clk_ms unreachable_since_ms; /* for the holder of the duty, or CLK_NEVER */
   clk_ms partly_cut_since_ms;  /* for two thirds of the hosts, or CLK_NEVER */
   uint64_t token;
+  bool ordered;         /* recorded, and the new primary not seen yet */
+  uint64_t newest_term; /* that an instance has reported */
+  uint64_t floor;       /* lowest possible term of the new primary */
+  uint64_t read_token;  /* of this holder, when it read the record */
+  struct floating floating[ROSTER_FLOATING];
+  clk_ms closed_ms; /* when the group was found closed, or CLK_NEVER */
   struct status_query *query;
   UT_hash_handle hh;
 };
@@ -52,6 +70,7 @@
   struct promoter_options options;
   struct groups *groups;
   struct roster *roster;
+  struct permits *permits;
   struct change *changes;
   struct ktimer tick;
 };
@@ -97,6 +116,47 @@
   set_stage (change, CHANGE_NONE);
 }
 
+/* Returns the order for another instance than ID that may still take effect,
+   or NULL.  */
+static struct floating *
+floating_other (struct change *change, const char *id)
+{
+  for (size_t i = 0; i < ROSTER_FLOATING; i++)
+    {
+      struct floating *order = &change->floating[i];
+      if (order->until_ms > now_ms (change) && strcmp (order->id, id) != 0
+          && !MUTANT (forget_late_promote))
+        return order;
+    }
+  return NULL;
+}
+
+static bool
+is_floating (const struct change *change, const char *id)
+{
+  for (size_t i = 0; i < ROSTER_FLOATING; i++)
+    if (change->floating[i].until_ms > now_ms (change)
+        && strcmp (change->floating[i].id, id) == 0)
+      return true;
+  return false;
+}
+
+/* Notes that the order for ID may take effect for PROMOTER_LATE_MS.  It takes
+   the place of an earlier one for ID, or of the one that ends first.  */
+static void
+add_floating (struct change *change, const char *id)
+{
+  struct floating *order = &change->floating[0];
+  for (size_t i = 1; i < ROSTER_FLOATING; i++)
+    if (change->floating[i].until_ms < order->until_ms)
+      order = &change->floating[i];
+  for (size_t i = 0; i < ROSTER_FLOATING; i++)
+    if (strcmp (change->floating[i].id, id) == 0)
+      order = &change->floating[i];
+  text_copy (order->id, sizeof order->id, id);
+  order->until_ms = now_ms (change) + PROMOTER_LATE_MS;
+}
+
 static void
 on_promoted (void *arg, enum promote_result result)
 {
@@ -107,6 +167,8 @@
                                        [PROMOTE_NOT_DONE] = "not_done",
                                        [PROMOTE_UNKNOWN] = "unknown" };
   log_change (change, "promotion_answer", names[result]);
+  if (result == PROMOTE_UNKNOWN)
+    add_floating (change, change->chosen);
   if (change->stage != CHANGE_ORDERED)
     return;
   switch (result)
@@ -149,11 +211,77 @@
 }
 
 static void
-order_promotion (struct change *change, const char *id)
+record_order (struct change *change)
+{
+  struct roster_record record = { .floor = change->floor };
+  text_copy (record.group, sizeof record.group, change->group);
+  text_copy (record.candidate, sizeof record.candidate, change->chosen);
+  for (size_t i = 0; i < ROSTER_FLOATING; i++)
+    if (change->floating[i].until_ms > now_ms (change)
+        && strcmp (change->floating[i].id, change->chosen) != 0)
+      memcpy (record.floating[record.floating_count++], change->floating[i].id,
+              NAME_BYTES);
+  roster_record_order (change->promoter->roster, &record, on_verified, change);
+}
+
+/* Sets the lowest possible term of the new primary.  An instance that leads in
+   the newest term already does not begin another one.  */
+static void
+set_floor (struct change *change, const struct group *group,
+           const struct status_row *chosen)
+{
+  uint64_t newest = samples_newest (group_samples (group)).term;
+  if (newest > change->newest_term)
+    change->newest_term = newest;
+  bool leads = chosen != NULL && chosen->status.is_primary
+               && chosen->status.term == change->newest_term;
+  change->floor = permits_floor (change->promoter->permits, change->group);
+  if (change->floor < change->newest_term + !leads)
+    change->floor = change->newest_term + !leads;
+}
+
+/* Orders the promotion of ID.  CHOSEN is its state; NULL if not known.  */
+static void
+order_promotion (struct change *change, const char *id,
+                 const struct status_row *chosen)
 {
+  struct promoter *promoter = change->promoter;
+  struct group *group = group_of (change);
   text_copy (change->chosen, sizeof change->chosen, id);
   set_stage (change, CHANGE_VERIFYING);
-  roster_verify_duty (change->promoter->roster, on_verified, change);
+  if (permits_fenced (promoter->permits) || group == NULL)
+    {
+      roster_verify_duty (promoter->roster, on_verified, change);
+      return;
+    }
+  set_floor (change, group, chosen);
+  change->ordered = true;
+  record_order (change);
+}
+
+/* Returns the row of an instance whose promotion was ordered already and may
+   still take effect, or NULL.  Any other one could lose the lead to it.  */
+static const struct status_row *
+ordered_before (const struct change *change, const struct status_row *rows,
+                size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (rows[i].answered && is_floating (change, rows[i].id))
+      return &rows[i];
+  return NULL;
+}
+
+static void
+note_terms (struct change *change, const struct status_row *rows, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct instance_status *status = &rows[i].status;
+      if (rows[i].answered && status->term > change->newest_term)
+        change->newest_term = status->term;
+      if (rows[i].answered && status->received.term > change->newest_term)
+        change->newest_term = status->received.term;
+    }
 }
 
 /* Returns the row with the most advanced log, the newest term first, or NULL
@@ -199,7 +327,9 @@
   struct change *change = arg;
   struct group *group = group_of (change);
   const struct status_row *best = most_advanced (rows, count);
+  const struct status_row *before = ordered_before (change, rows, count);
   change->query = NULL;
+  note_terms (change, rows, count);
   if (best == NULL || group == NULL)
     {
       abort_change (change, "no instance answers", PROMOTER_RETRY_MS);
@@ -221,7 +351,8 @@
       if (now_ms (change) - change->started_ms < PROMOTER_CATCH_UP_TIMEOUT_MS)
         query_positions (change);
       else
-        order_promotion (change, change->old); /* only it has all commits */
+        order_promotion (change, change->old,
+                         NULL); /* only it has all commits */
       return;
     }
   if (has_old_term (change, group, best->status.received.term))
@@ -230,7 +361,9 @@
                     PROMOTER_RETRY_MS);
       return;
     }
-  order_promotion (change, best->id);
+  if (before != NULL && group_settings (group)->sync_replicas == 0)
+    best = before;
+  order_promotion (change, best->id, best);
 }
 
 /* Lists the instances to be queried before a promotion; returns their number.
@@ -305,6 +438,11 @@
       abort_change (change, "the primary has changed", 0);
       return;
     }
+  if (MUTANT (skip_stepdown))
+    {
+      query_positions (change);
+      return;
+    }
   set_stage (change, CHANGE_STEPPING_DOWN);
   change->query = status_query_new (
       promoter->base.kernel, promoter->options.parse_status, 1, &old,
@@ -343,11 +481,27 @@
       STMT_STATUS, 0, PROMOTER_QUERY_TIMEOUT_MS, on_replicas_checked, change);
 }
 
+/* Continues once no host uses the old primary any more.  */
+static void
+continue_recall (struct change *change, struct group *group)
+{
+  struct permits *permits = change->promoter->permits;
+  if (!permits_recalled (permits, change->group))
+    return;
+  if (!permits_fenced (permits))
+    log_change (change, "primary_recalled", change->old);
+  if (change->hand_over)
+    check_replicas (change, group);
+  else
+    query_positions (change);
+}
+
 static void
 start_change (struct change *change, struct backend *old, bool hand_over,
               const char *why)
 {
   struct group *group = group_of (change);
+  struct permits *permits = change->promoter->permits;
   change->why = why;
   change->hand_over = hand_over;
   change->started_ms = now_ms (change);
@@ -358,12 +512,17 @@
   text_copy (change->old, sizeof change->old,
              old != NULL ? backend_entry (old)->id : "");
   log_change (change, "promotion_begun", hand_over ? "hand_over" : "failover");
-  if (!hand_over)
+  /* A primary that steps down needs no recall, unless another order may still
+     replace its successor.  */
+  if (hand_over && floating_other (change, "") == NULL)
     {
-      query_positions (change);
+      check_replicas (change, group);
       return;
     }
-  check_replicas (change, group);
+  permits_close (permits, change->group,
+                 permits_floor (permits, change->group));
+  set_stage (change, CHANGE_RECALLING);
+  continue_recall (change, group);
 }
 
 /* Returns whether an instance other than OLD may be promoted now.  */
@@ -445,27 +604,137 @@
     start_change (change, NULL, false, "no known primary");
 }
 
+static bool
+has_instance (struct group *group, const char *id)
+{
+  struct backend *all[GROUP_INSTANCES];
+  size_t count = group_instances (group, all);
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (backend_entry (all[i])->id, id) == 0)
+      return true;
+  return false;
+}
+
+/* Returns whether LEADER is the primary that the last change has led to.  */
+static bool
+is_new_primary (struct change *change, struct group *group,
+                const struct backend *leader)
+{
+  if (leader == NULL)
+    return false;
+  bool chosen = strcmp (backend_entry (leader)->id, change->chosen) == 0;
+  if (permits_fenced (change->promoter->permits))
+    return chosen;
+  return backend_usable (leader)
+         && (chosen || !has_instance (group, change->chosen))
+         && backend_position (leader).term >= change->floor;
+}
+
+/* Lets the hosts use the primary again, if only one instance can be it now.
+   Returns whether they may.  */
+static bool
+try_to_open (struct change *change, struct group *group)
+{
+  struct permits *permits = change->promoter->permits;
+  struct backend *leader = group_leader (group);
+  if (leader == NULL || !backend_usable (leader)
+      || backend_position (leader).term
+             < permits_floor (permits, change->group)
+      || (change->ordered && !is_new_primary (change, group, leader))
+      || floating_other (change, backend_entry (leader)->id) != NULL)
+    return false;
+  change->ordered = false;
+  permits_open (permits, change->group, backend_position (leader).term);
+  return true;
+}
+
+/* Takes over what earlier holders of the duty have ordered, when this host has
+   acquired it.  */
+static void
+read_record (struct change *change, uint64_t token)
+{
+  struct roster_record record;
+  struct promoter *promoter = change->promoter;
+  if (permits_fenced (promoter->permits) || change->read_token == token)
+    return;
+  change->read_token = token;
+  change->ordered = false;
+  if (!roster_find_record (promoter->roster, change->group, &record))
+    return;
+  change->ordered = permits_closed (promoter->permits, change->group);
+  change->floor = record.floor;
+  text_copy (change->chosen, sizeof change->chosen, record.candidate);
+  add_floating (change, record.candidate);
+  for (size_t i = 0; i < record.floating_count; i++)
+    add_floating (change, record.floating[i]);
+}
+
+/* Called while the hosts may not use a primary of GROUP.  Returns whether to
+   look no further.  */
+static bool
+monitor_closed (struct change *change, struct group *group)
+{
+  if (change->closed_ms == CLK_NEVER)
+    change->closed_ms = now_ms (change);
+  if (try_to_open (change, group) || !change->ordered)
+    return !change->ordered
+           && !permits_closed (change->promoter->permits, change->group);
+  if (now_ms (change) - change->closed_ms >= PROMOTER_PENDING_MS
+      && now_ms (change) >= change->next_ms)
+    start_change (change, NULL, false,
+                  "an ordered promotion has had no effect");
+  return true;
+}
+
+static void
+monitor_recall (struct change *change, struct group *group,
+                const struct backend *leader)
+{
+  if (change->ordered && try_to_open (change, group))
+    abort_change (change, "an earlier order has taken effect", 0);
+  else if (!change->ordered && !change->hand_over && leader != NULL
+           && backend_usable (leader)
+           && backend_position (leader).term
+                  >= permits_floor (change->promoter->permits, change->group))
+    abort_change (change, "the primary is reachable again", 0);
+  else
+    continue_recall (change, group);
+}
+
 /* Monitors GROUP on the host that holds the duty.  */
 static void
-monitor_group (struct change *change, struct group *group)
+monitor_group (struct change *change, struct group *group, uint64_t token)
 {
+  struct permits *permits = change->promoter->permits;
   struct backend *leader = group_leader (group);
+  read_record (change, token);
+  if (change->stage == CHANGE_RECALLING)
+    {
+      monitor_recall (change, group, leader);
+      return;
+    }
   if (change->stage == CHANGE_AWAITED)
     {
-      if (leader != NULL
-          && strcmp (backend_entry (leader)->id, change->chosen) == 0)
+      if (is_new_primary (change, group, leader))
         {
           log_change (change, "promotion_done", change->chosen);
           change->first_attempt_ms = CLK_NEVER;
           change->next_ms = now_ms (change);
           set_stage (change, CHANGE_NONE);
+          try_to_open (change, group);
         }
       else if (now_ms (change) - change->stage_ms
                >= PROMOTER_EFFECT_TIMEOUT_MS)
         abort_change (change, "the promotion had no effect", 0);
       return;
     }
-  if (change->stage != CHANGE_NONE || now_ms (change) < change->next_ms)
+  if (change->stage != CHANGE_NONE)
+    return;
+  if (!permits_closed (permits, change->group))
+    change->closed_ms = CLK_NEVER;
+  else if (monitor_closed (change, group))
+    return;
+  if (now_ms (change) < change->next_ms)
     return;
   if (leader == NULL)
     consider_leaderless (change, group);
@@ -490,6 +759,7 @@
   change->first_attempt_ms = CLK_NEVER;
   change->unreachable_since_ms = CLK_NEVER;
   change->partly_cut_since_ms = CLK_NEVER;
+  change->closed_ms = CLK_NEVER;
   text_copy (change->group, sizeof change->group, group);
   HASH_ADD_STR (promoter->changes, group, change);
   return change;
@@ -528,7 +798,7 @@
              > 0)
     group_check_leader (group);
   if (roster_holds_duty (promoter->roster, &token))
-    monitor_group (change, group);
+    monitor_group (change, group, token);
   else if (change->stage != CHANGE_NONE && change->stage != CHANGE_ORDERED)
     abort_change (change, "duty lost", 0);
 }
@@ -552,6 +822,8 @@
   struct promoter *promoter = (struct promoter *)module;
   promoter->groups = (struct groups *)kernel_find (module->kernel, "groups");
   promoter->roster = (struct roster *)kernel_find (module->kernel, "roster");
+  promoter->permits
+      = (struct permits *)kernel_find (module->kernel, "permits");
   promoter->tick = (struct ktimer){ .fire = on_tick, .arg = promoter };
   kernel_timer_set (module->kernel, &promoter->tick,
                     kernel_now (module->kernel));
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -10,6 +10,12 @@
      of the hosts can't reach it while the holder can.  The primary steps down,
      another instance receives the rest of its log, and that one is promoted.
 
+   Where the platform fences no old primaries, a failover first recalls the
+   primary from all hosts (see permits.h).  Each order is recorded in the store
+   before it is sent, and an order without an answer may take effect late: its
+   instance is preferred in the next change, and the primary of another one is
+   used only after PROMOTER_LATE_MS.
+
    In groups in which commits wait for a replica, a failover first makes all
    other instances stop receiving the log and report their positions, so that
    no commit acknowledged meanwhile is lost.
@@ -57,6 +63,13 @@
    over.  */
 #define PROMOTER_PARTIAL_CUT_MS 400
 
+/* An order without an answer may still take effect for this long.  */
+#define PROMOTER_LATE_MS 8000
+
+/* A promotion that an earlier holder of the duty has ordered gets this long to
+   take effect before it is ordered again.  */
+#define PROMOTER_PENDING_MS 800
+
 /* Delay before the retry of a change that failed.  */
 #define PROMOTER_RETRY_MS 200
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -77,7 +77,18 @@
   snprintf (out, KEY_BYTES, HOSTS_PREFIX "%s", roster->host);
 }
 
-static void check_registration (struct roster *roster);
+static void register_host (struct roster *roster);
+
+/* Returns the revision of the registration of this host's name, as far as it
+   is known here; 0 if there is none.  */
+static uint64_t
+registered_revision (const struct roster *roster)
+{
+  char own[KEY_BYTES];
+  own_host_key (roster, own);
+  const struct roster_key *key = roster_find_key (roster, own);
+  return key != NULL ? key->revision : 0;
+}
 
 static void
 on_registered (void *arg, const struct platform_reply *reply)
@@ -88,12 +99,15 @@
   if (reply->status == PLATFORM_OK)
     {
       roster->registered = reply->index;
+      roster->unregistered = false;
       mirror_expect (roster->mirror, reply->index);
     }
   if (reply->status == PLATFORM_NOT_FOUND)
     lease_lost (roster->host_lease);
-  if (reply->status == PLATFORM_CONFLICT)
-    check_registration (roster);
+  /* The registration may have been removed while the call was in flight.  */
+  if (reply->status == PLATFORM_CONFLICT
+      && registered_revision (roster) != roster->replaced)
+    register_host (roster);
 }
 
 /* Registers this host.  The registration of an earlier process of this host is
@@ -107,9 +121,9 @@
       || roster->registering)
     return;
   own_host_key (roster, name);
-  const struct roster_key *key = roster_find_key (roster, name);
   roster->registering = true;
-  roster->replaced = key != NULL ? key->revision : 0;
+  roster->unregistered = true;
+  roster->replaced = registered_revision (roster);
   roster_write_key (roster, roster->host_lease, name, roster->registration,
                     roster->replaced, on_registered, roster);
 }
@@ -119,11 +133,9 @@
 static void
 check_registration (struct roster *roster)
 {
-  char own[KEY_BYTES];
-  own_host_key (roster, own);
-  const struct roster_key *key = roster_find_key (roster, own);
-  if (key != NULL && key->revision != roster->registered
-      && key->revision != roster->replaced)
+  uint64_t revision = registered_revision (roster);
+  if (revision != 0 && revision != roster->registered
+      && revision != roster->replaced)
     register_host (roster);
 }
 
@@ -139,6 +151,17 @@
   register_host (arg);
 }
 
+/* A registration that failed is tried again after the next renewal: it may
+   have met one that was removed before this host could read it.  */
+static void
+host_lease_answered (void *arg, const struct platform_reply *reply)
+{
+  struct roster *roster = arg;
+  roster_note_reply (roster, reply);
+  if (reply->status == PLATFORM_OK && roster->unregistered)
+    register_host (roster);
+}
+
 static bool
 is_host_key (const char *name)
 {
@@ -298,6 +321,7 @@
              LOG_U ("mine", mine));
   groups_set_monitoring (roster->groups, mine);
   mirror_set_immediate (roster->mirror, mine);
+  permits_note_duty (roster->permits, key != NULL ? key->created : 0);
   if (key == NULL)
     roster_claim_soon (roster);
   else if (!mine && lease_wanted (roster->duty_lease) && !roster->claiming)
@@ -429,6 +453,7 @@
   roster->placement
       = (struct placement *)kernel_find (module->kernel, "placement");
   roster->groups = (struct groups *)kernel_find (module->kernel, "groups");
+  roster->permits = (struct permits *)kernel_find (module->kernel, "permits");
   roster->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
   roster->relay = (struct relay *)kernel_find (module->kernel, "relay");
   relay_set_capacity (roster->relay, roster->capacity);
@@ -436,9 +461,9 @@
       = (struct suspicions *)kernel_find (module->kernel, "suspicions");
   update_hosts (roster);
   mirror_subscribe (roster->mirror, &events);
-  roster->host_lease = lease_new (module->kernel, roster->store, "host_lease",
-                                  ROSTER_HOST_LEASE_MS, ROSTER_HOST_RENEW_MS,
-                                  host_lease_gained, lease_answered, roster);
+  roster->host_lease = lease_new (
+      module->kernel, roster->store, "host_lease", ROSTER_HOST_LEASE_MS,
+      ROSTER_HOST_RENEW_MS, host_lease_gained, host_lease_answered, roster);
   roster->duty_lease = lease_new (
       module->kernel, roster->store, "duty_lease", ROSTER_DUTY_LEASE_MS,
       ROSTER_DUTY_RENEW_MS, roster_duty_lease_gained, lease_answered, roster);
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -15,6 +15,9 @@
      savoryway/secret                     secret shared by the hosts for
                                           their messages, in hexadecimal
      savoryway/duty                       "HOST INCARNATION" of the holder
+     savoryway/primaries/GROUP            "FLOOR CANDIDATE [INSTANCE...]": the
+                                          change of primary ordered last, see
+                                          roster_record
      savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of failure
                                           domain DOMAIN, can't reach INSTANCE
 
@@ -91,6 +94,10 @@
    TOKEN to the fencing token if so.  */
 bool roster_holds_duty (const struct roster *roster, uint64_t *token);
 
+/* Returns whether the lease of the duty is valid, so that no other host can
+   hold it.  */
+bool roster_duty_leased (const struct roster *roster);
+
 /* Queries the store for the holder of the duty and passes to DONE whether it
    is still this host.  If the store does not answer, HELD is what
    roster_holds_duty returns.  */
@@ -98,6 +105,38 @@
 void roster_verify_duty (struct roster *roster, roster_verify_done done,
                          void *arg);
 
+/* Maximum number of instances with an order that may still take effect.  */
+#define ROSTER_FLOATING 3
+
+/* An order to promote, recorded before it is sent, so that later holders of
+   the duty know of it.  The new primary is of term FLOOR or later.  FLOATING
+   are other instances whose promotion was ordered before without an answer,
+   and may still take effect.  */
+struct roster_record
+{
+  char group[NAME_BYTES];
+  uint64_t floor;
+  char candidate[NAME_BYTES];
+  size_t floating_count;
+  char floating[ROSTER_FLOATING][NAME_BYTES];
+};
+
+/* Writes RECORD, provided that this host still holds the duty, and passes to
+   DONE whether it was written and the lease of the duty is valid.  */
+void roster_record_order (struct roster *roster,
+                          const struct roster_record *record,
+                          roster_verify_done done, void *arg);
+
+/* Calls FN for each record in the store.  */
+void roster_each_record (struct roster *roster,
+                         void (*fn) (void *arg,
+                                     const struct roster_record *record),
+                         void *arg);
+
+/* Reads the record of GROUP.  Returns false if there is none.  */
+bool roster_find_record (const struct roster *roster, const char *group,
+                         struct roster_record *record);
+
 /* Releases the duty, if this host holds it; WHY is logged.  */
 void roster_resign_duty (struct roster *roster, const char *why);
 
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -129,8 +129,26 @@
   lease_release (roster->duty_lease);
 }
 
-static void
-end_verification (struct verification *check, bool held)
+bool
+roster_duty_leased (const struct roster *roster)
+{
+  return lease_valid (roster->duty_lease);
+}
+
+struct verification *
+roster_begin_verification (struct roster *roster, roster_verify_done done,
+                           void *arg)
+{
+  struct verification *check = mem_zalloc (sizeof *check);
+  check->roster = roster;
+  check->done = done;
+  check->arg = arg;
+  DL_APPEND (roster->verifications, check);
+  return check;
+}
+
+void
+roster_end_verification (struct verification *check, bool held)
 {
   roster_verify_done done = check->done;
   void *arg = check->arg;
@@ -151,7 +169,7 @@
            && reply->items[0].created == token;
   else if (reply->status == PLATFORM_NOT_FOUND)
     held = false;
-  end_verification (check, held);
+  roster_end_verification (check, held);
 }
 
 /* Decides from the local state while the store is unavailable.  */
@@ -160,21 +178,17 @@
 {
   struct verification *check = arg;
   uint64_t token;
-  end_verification (check, roster_holds_duty (check->roster, &token));
+  roster_end_verification (check, roster_holds_duty (check->roster, &token));
 }
 
 void
 roster_verify_duty (struct roster *roster, roster_verify_done done, void *arg)
 {
-  struct verification *check = mem_zalloc (sizeof *check);
+  struct verification *check = roster_begin_verification (roster, done, arg);
   struct platform_call call = { .kind = PLATFORM_GET,
                                 .purpose = "duty_verify",
                                 .key = DUTY_KEY,
                                 .timeout_ms = ROSTER_CALL_TIMEOUT_MS };
-  check->roster = roster;
-  check->done = done;
-  check->arg = arg;
-  DL_APPEND (roster->verifications, check);
   if (roster->store_refuses)
     {
       kernel_defer (roster->base.kernel, verify_locally, check);
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -9,6 +9,7 @@
 #include "proxy/hosts.h"
 #include "proxy/lease.h"
 #include "proxy/mirror.h"
+#include "proxy/permits.h"
 #include "proxy/placement.h"
 #include "proxy/relay.h"
 #include "proxy/roster.h"
@@ -24,6 +25,8 @@
 
 #define SECRET_KEY PREFIX "secret"
 
+#define RECORDS_PREFIX PREFIX "primaries/"
+
 #define KEY_BYTES 200
 
 /* The last known state of a key in the store.  */
@@ -76,6 +79,7 @@
   struct hosts *hosts;
   struct placement *placement;
   struct groups *groups;
+  struct permits *permits;
   struct mirror *mirror;
   struct relay *relay;
   struct roster_key *keys;
@@ -89,6 +93,7 @@
   uint64_t registered; /* revision of this process's registration */
   uint64_t replaced;   /* revision expected by the last registration */
   bool registering;
+  bool unregistered; /* no registration under the lease was confirmed */
   size_t peak_hosts; /* number of other hosts before a shrinkage */
   struct ktimer claim_timer;
   struct ktimer shrink_timer;
@@ -115,6 +120,11 @@
 void roster_track_report (struct roster *roster, const char *name);
 
 /* roster_duty.c */
+/* Starts a verification that ends with DONE (ARG).  */
+struct verification *roster_begin_verification (struct roster *roster,
+                                                roster_verify_done done,
+                                                void *arg);
+void roster_end_verification (struct verification *check, bool held);
 /* Attempts to acquire the duty at a random time within SPREAD_MS.  */
 void roster_claim_within (struct roster *roster, clk_ms spread_ms);
 /* The same with the default jitter.  */
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -20,6 +20,7 @@
 #include "proxy/group.h"
 #include "proxy/hosts.h"
 #include "proxy/mirror.h"
+#include "proxy/permits.h"
 #include "proxy/placement.h"
 #include "proxy/promoter.h"
 #include "proxy/relay.h"
@@ -30,6 +31,7 @@
 /* Maximum number of hosts; enough for relays in each failure domain.  */
 #define FLEET_HOSTS 42
 #define FLEET_DEFAULT_HOSTS 6
+#define FLEET_CONNECTIONS 60
 #define FLEET_INSTANCES 3
 /* Number of failure domains.  */
 #define FLEET_ZONES 3
@@ -82,8 +84,12 @@
   clk_ms gone_ms;           /* its entry was removed then, or CLK_NEVER */
   bool unreachable;         /* answers nothing, not even connects */
   bool replication_stopped; /* receives no log from the primary */
+  bool isolated;            /* can't reach the other instances */
+  clk_ms outdated_ms;       /* until when a replaced primary goes on, since it
+                               reaches the new one; or CLK_NEVER */
   bool was_stopped;         /* the same at the last tick */
   clk_ms lag_ms;            /* from receiving a log position to applying it */
+  clk_ms slow_ms;           /* upper limit of additional execution time */
   uint32_t connections;
   uint32_t max_connections;
   uint32_t busy_percent; /* of the statements, answered with CODE_BUSY */
@@ -116,8 +122,9 @@
   struct promote_port promote;
   struct hosts *others;
   struct forwarded_sessions *forwarded_sessions;
-  bool peers_cut;   /* can't reach any other host */
-  bool ignores_era; /* as a relay; of a version that compares revisions */
+  bool peers_cut;       /* can't reach any other host */
+  clk_ms peers_slow_ms; /* delay of its messages to other hosts */
+  bool ignores_era;     /* as a relay; of a version that compares revisions */
   struct peer_port peers;
   peer_handler peer_handler;
   void *peer_arg;
@@ -131,6 +138,19 @@
 /* Like fleet_new, with CONNECTIONS as the connection limit of an instance.  */
 struct fleet *fleet_new_limited (uint64_t seed, size_t hosts,
                                  uint32_t connections);
+/* Like fleet_new, on a platform that checks no fencing token, where a replaced
+   primary goes on until STEPDOWN, or until a second after it can reach the new
+   one.  */
+struct fleet *fleet_new_unfenced (uint64_t seed, size_t hosts);
+
+struct fleet_options
+{
+  uint32_t connections; /* limit of an instance */
+  bool unfenced;
+};
+
+struct fleet *fleet_new_with (uint64_t seed, size_t hosts,
+                              const struct fleet_options *options);
 void fleet_free (struct fleet *fleet);
 
 struct fleet_host *fleet_host (struct fleet *fleet, size_t index);
@@ -158,6 +178,14 @@
 /* Returns the current primary, or NULL.  */
 struct fleet_instance *fleet_primary (struct fleet *fleet);
 
+/* Returns the term in which INSTANCE leads or led last.  */
+static inline uint64_t
+fleet_instance_term (const struct fleet_instance *instance)
+{
+  return instance->unapplied_term != 0 ? instance->unapplied_term
+                                       : instance->applied.term;
+}
+
 /* Makes the store stop answering (DOWN) or answer again.  */
 void fleet_store_down (struct fleet *fleet, bool down);
 /* Drops all pending watches: the store never answers them, though their
@@ -249,6 +277,12 @@
   uint64_t token;
   char token_holder[NAME_BYTES]; /* that sent it */
   uint32_t connections; /* configured connection limit of an instance */
+  bool unfenced; /* the platform checks no fencing token, and an old primary
+                    goes on */
+  uint64_t lead_term;            /* of the last promotion that took effect */
+  struct position lead_start;    /* where the log of that term begins */
+  uint32_t promote_lost_percent; /* of the orders, not answered; they take
+                                    effect late or never */
   struct ktimer tick;
   clk_ms store_disturbed_ms; /* last time of a disturbance of the store */
   uint64_t config_version;   /* that the operator wrote last */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -14,6 +14,12 @@
 /* One-way delay of a message.  */
 #define NET_MS 1
 #define CONNECT_MS 2
+/* For how long a replaced primary goes on since it reaches the new one.  */
+#define OUTDATED_MS 1000
+/* Time after which an order without an answer is given up, and limit of the
+   time after which it takes effect.  */
+#define ORDER_TIMEOUT_MS 700
+#define LATE_LIMIT_MS 6000
 /* Upper limit, exclusive, of the execution time of a statement.  */
 #define WORK_LIMIT_MS 16
 /* Time until an instance notices that an unreachable host has closed a
@@ -203,7 +209,8 @@
 receive (struct fleet_instance *replica, struct position position)
 {
   struct replication *step = mem_zalloc (sizeof *step);
-  if (replica->replication_stopped || replica->unreachable)
+  if (replica->replication_stopped || replica->unreachable || replica->isolated
+      || position.term < replica->received.term)
     {
       free (step);
       return;
@@ -213,18 +220,52 @@
   fleet_schedule (replica->fleet, replica->lag_ms, apply, step);
 }
 
+static void demote (struct fleet_instance *instance);
+
+/* Makes replaced primaries follow the newest one, a second after they can
+   reach it.  */
+static void
+end_outdated (struct fleet *fleet)
+{
+  const struct fleet_instance *primary = fleet_primary (fleet);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      struct fleet_instance *instance = &fleet->instances[i];
+      bool outdated = instance->is_primary && instance != primary;
+      if (!outdated || instance->unreachable || instance->isolated
+          || primary->unreachable || primary->isolated)
+        {
+          instance->outdated_ms = CLK_NEVER;
+          continue;
+        }
+      if (instance->outdated_ms == CLK_NEVER)
+        instance->outdated_ms = fleet_now (fleet) + OUTDATED_MS;
+      if (fleet_now (fleet) < instance->outdated_ms)
+        continue;
+      demote (instance);
+      instance->applied = instance->received = fleet->lead_start;
+      instance->was_stopped = true; /* receives the rest now */
+    }
+}
+
 void
 fleet_replicate (struct fleet *fleet)
 {
   const struct fleet_instance *primary = fleet_primary (fleet);
+  end_outdated (fleet);
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     {
       struct fleet_instance *instance = &fleet->instances[i];
-      bool resumes = instance->was_stopped && !instance->replication_stopped;
-      if (resumes && primary != NULL && primary->unapplied_term == 0
+      bool stopped = instance->replication_stopped || instance->isolated;
+      bool resumes = instance->was_stopped && !stopped && !instance->is_primary
+                     && primary != NULL && !primary->isolated;
+      if (resumes && primary->unapplied_term == 0
           && position_compare (instance->received, primary->received) < 0)
         receive (instance, primary->received);
-      instance->was_stopped = instance->replication_stopped;
+      /* What it has missed from an isolated primary comes later.  */
+      instance->was_stopped
+          = stopped
+            || (instance->was_stopped && primary != NULL && primary->isolated);
     }
 }
 
@@ -257,9 +298,15 @@
   primary->applied.lsn++;
   primary->received = primary->applied;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
-    if (&link->fleet->instances[i] != primary
-        && !link->fleet->instances[i].is_primary)
-      receive (&link->fleet->instances[i], primary->applied);
+    {
+      struct fleet_instance *other = &link->fleet->instances[i];
+      if (other == primary || other->is_primary)
+        continue;
+      if (primary->isolated)
+        other->was_stopped = true;
+      else
+        receive (other, primary->applied);
+    }
   return primary->applied;
 }
 
@@ -522,10 +569,12 @@
     return;
   link->running = true;
   bool works = takes_slot (link->queue[link->head].kind);
+  clk_ms limit_ms = WORK_LIMIT_MS + link->instance->slow_ms;
   schedule_step (
       link,
       NET_MS
-          + (works ? (clk_ms)rng_below (&link->fleet->rng, WORK_LIMIT_MS) : 0),
+          + (works ? (clk_ms)rng_below (&link->fleet->rng, (uint64_t)limit_ms)
+                   : 0),
       execute);
 }
 
@@ -646,9 +695,38 @@
   promote_done done;
   void *arg;
   uint64_t incarnation; /* of the host, when it sent the request */
+  bool unanswered;
   char holder[NAME_BYTES];
 };
 
+/* The sender gives up an order without an answer.  */
+static void
+order_times_out (void *arg)
+{
+  struct promotion_request *request = arg;
+  if (request->host->running
+      && request->host->incarnation == request->incarnation)
+    request->done (request->arg, PROMOTE_UNKNOWN);
+  free (request);
+}
+
+/* Lets the order take effect late, or never, without an answer.  */
+static void
+lose_answer (struct promotion_request *request,
+             void (*arrived) (void *request))
+{
+  struct fleet *fleet = request->fleet;
+  struct promotion_request *waiting = mem_zalloc (sizeof *waiting);
+  request->unanswered = true;
+  *waiting = *request;
+  fleet_schedule (fleet, ORDER_TIMEOUT_MS, order_times_out, waiting);
+  if (rng_below (&fleet->rng, 3) == 0)
+    free (request);
+  else
+    fleet_schedule (fleet, (clk_ms)rng_below (&fleet->rng, LATE_LIMIT_MS),
+                    arrived, request);
+}
+
 /* Makes INSTANCE follow PRIMARY, whose log of the new term begins at START.
    What it has received beyond that is rolled back.  */
 static void
@@ -656,7 +734,8 @@
         struct position start)
 {
   bool ahead = instance->received.lsn > primary->received.lsn;
-  if (instance == primary || (instance->replication_stopped && !ahead))
+  if (instance == primary || (instance->replication_stopped && !ahead)
+      || instance->isolated || instance->is_primary)
     return;
   instance->applied = start;
   instance->received = start;
@@ -673,14 +752,18 @@
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     if (fleet->instances[i].received.term > term)
       term = fleet->instances[i].received.term;
+  if (fleet->unfenced && term < fleet->lead_term)
+    term = fleet->lead_term;
   if (old != candidate && !candidate->unreachable)
     {
-      if (old != NULL)
+      if (old != NULL && !fleet->unfenced)
         demote (old);
       oracle_rolled_back (fleet, candidate->received, term + 1);
       struct position start = { term + 1, candidate->received.lsn };
       candidate->is_primary = true;
       candidate->unapplied_term = term + 1;
+      fleet->lead_term = term + 1;
+      fleet->lead_start = start;
       /* It still has to apply what it had received, with its usual lag.  */
       if (position_compare (candidate->applied, candidate->received) < 0)
         fleet_schedule (fleet, candidate->lag_ms, replay_done, candidate);
@@ -699,7 +782,7 @@
 {
   struct promotion_request *request = arg;
   struct fleet *fleet = request->fleet;
-  bool fenced = request->token < fleet->token;
+  bool fenced = request->token < fleet->token && !fleet->unfenced;
   bool alive = request->host->running
                && request->host->incarnation == request->incarnation;
   if (request->token == fleet->token
@@ -707,19 +790,19 @@
     fleet_report_violation (fleet, "%s and %s use the fencing token %" PRIu64,
                             fleet->token_holder, request->holder,
                             request->token);
-  if (!fenced)
+  if (!fenced && request->token >= fleet->token)
     {
       fleet->token = request->token;
       memcpy (fleet->token_holder, request->holder, NAME_BYTES);
     }
   if (fenced || fleet->instances[request->instance].unreachable)
     {
-      if (alive)
+      if (alive && !request->unanswered)
         request->done (request->arg, PROMOTE_REFUSED);
       free (request);
       return;
     }
-  if (alive)
+  if (alive && !request->unanswered)
     request->done (request->arg, PROMOTE_ACCEPTED);
   fleet_schedule (fleet, FLEET_PROMOTE_MS, complete_promotion, request);
 }
@@ -742,7 +825,14 @@
                                     .arg = arg,
                                     .incarnation = host->incarnation };
   snprintf (request->holder, NAME_BYTES, "%s", holder);
-  fleet_schedule (host->fleet, 5, promotion_arrived, request);
+  if (host->fleet->unfenced && token < host->fleet->token)
+    fleet_report_violation (
+        host->fleet, "ONE: %s sent the token %" PRIu64 " after %" PRIu64,
+        host->name, token, host->fleet->token);
+  if (rng_below (&host->fleet->rng, 100) < host->fleet->promote_lost_percent)
+    lose_answer (request, promotion_arrived);
+  else
+    fleet_schedule (host->fleet, 5, promotion_arrived, request);
 }
 
 static const struct promote_port_ops promote_ops = { .promote = promote };
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -67,6 +67,7 @@
   char id[NAME_BYTES];
   struct position position;
   bool rolled_back;
+  bool outdated; /* on a primary that had been replaced */
   UT_hash_handle hh;
 };
 
@@ -144,7 +145,9 @@
       bool required = ack->at_ms < limit_ms
                       || (session && ack->session == caller->session
                           && ack->at_ms < record->since_ms);
-      if (required && !ack->rolled_back && position.lsn < ack->position.lsn)
+      bool contained = position.term >= ack->position.term
+                       && position.lsn >= ack->position.lsn;
+      if (required && !ack->rolled_back && !contained)
         fleet_report_violation (fleet,
                                 "STALE: %s ran on %llu.%llu without %llu.%llu",
                                 record->id, (unsigned long long)position.term,
@@ -237,6 +240,7 @@
   struct pending_commit *commit = mem_zalloc (sizeof *commit);
   snprintf (commit->id, NAME_BYTES, "%s", id);
   commit->position = position;
+  commit->outdated = position.term < fleet->lead_term;
   HASH_ADD_STR (oracle->commits, id, commit);
 }
 
@@ -328,6 +332,13 @@
   HASH_FIND_STR (oracle->commits, caller->id, commit);
   if (commit == NULL || oracle->ack_count == FLEET_MAX_ACKS)
     return;
+  if (commit->outdated)
+    fleet_report_violation (caller->host->fleet,
+                            "ONE: %s was acknowledged, though %llu.%llu was "
+                            "committed on a replaced primary",
+                            caller->id,
+                            (unsigned long long)commit->position.term,
+                            (unsigned long long)commit->position.lsn);
   oracle->acks[oracle->ack_count++] = (struct acknowledged){
     .position = commit->position,
     .at_ms = fleet_now (caller->host->fleet),
--- a/tests/fleet/fleet_peers.c
+++ b/tests/fleet/fleet_peers.c
@@ -127,7 +127,7 @@
       || !rpc_body_encode (&call->body, message, MESSAGE_LIMIT_BYTES))
     abort (); /* hosts keep their names, and messages are small */
   DL_APPEND (from->calls, call);
-  schedule_step (call, NET_MS, deliver_call);
+  schedule_step (call, NET_MS + from->peers_slow_ms, deliver_call);
   schedule_step (call, timeout_ms, time_out);
   return call->id;
 }
@@ -190,7 +190,8 @@
   reply->call = call;
   if (!rpc_body_encode (&reply->body, message, MESSAGE_LIMIT_BYTES))
     abort ();
-  fleet_schedule (call->fleet, NET_MS, deliver_reply, reply);
+  fleet_schedule (call->fleet, NET_MS + host_of (port)->peers_slow_ms,
+                  deliver_reply, reply);
 }
 
 static void
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -62,6 +62,8 @@
   char value[VALUE_BYTES];
   char lease[LEASE_BYTES];
   struct platform_write write;
+  char checked[KEY_BYTES]; /* whose revision the write depends on; or "" */
+  uint64_t checked_index;
   platform_done done;
   void *arg;
   bool waiting; /* a pending watch */
@@ -237,6 +239,19 @@
   return key;
 }
 
+/* Returns whether the key that the write of CALL depends on is at its
+   revision.  */
+static bool
+check_holds (const struct store_call *call)
+{
+  struct store_key *key;
+  HASH_FIND_STR (call->store->keys, call->checked, key);
+  return call->checked[0] == '\0'
+         || (key != NULL
+             && key->revision
+                    == platform_index_revision (call->checked_index));
+}
+
 static enum platform_status
 write_key (struct fleet_store *store, const struct platform_write *write,
            uint64_t *index)
@@ -481,7 +496,9 @@
         schedule (call, KEEPALIVE_MS, keep_alive);
       return;
     case PLATFORM_WRITE:
-      reply.status = write_key (store, &call->write, &reply.index);
+      reply.status = check_holds (call)
+                         ? write_key (store, &call->write, &reply.index)
+                         : PLATFORM_CONFLICT;
       finish (call, &reply);
       answer_watches (store);
       return;
@@ -550,7 +567,13 @@
     snprintf (call->lease, LEASE_BYTES, "%s", request->lease);
   if (request->write_count > 0)
     {
-      call->write = request->writes[0];
+      /* Hosts write one key, possibly after a check of another.  */
+      call->write = request->writes[request->write_count - 1];
+      if (request->write_count > 1)
+        {
+          snprintf (call->checked, KEY_BYTES, "%s", request->writes[0].key);
+          call->checked_index = request->writes[0].expect_index;
+        }
       snprintf (call->key, KEY_BYTES, "%s", call->write.key);
       snprintf (call->value, VALUE_BYTES, "%.*s", (int)call->write.value_bytes,
                 call->write.value);
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -331,6 +331,8 @@
   kernel_register (host->kernel, hosts_module (host->others));
   kernel_register (host->kernel, placement_module (placement_new ()));
   kernel_register (host->kernel, groups_module (host->groups));
+  kernel_register (host->kernel,
+                   permits_module (permits_new (!fleet->unfenced)));
   kernel_register (host->kernel, suspicions_module (suspicions_new ()));
   kernel_register (host->kernel, relay_module (relay_new ()));
   kernel_register (host->kernel, revisions_new ());
@@ -364,13 +366,33 @@
 struct fleet *
 fleet_new (uint64_t seed, size_t hosts)
 {
-  return fleet_new_limited (seed, hosts, 60);
+  return fleet_new_limited (seed, hosts, FLEET_CONNECTIONS);
 }
 
 struct fleet *
 fleet_new_limited (uint64_t seed, size_t hosts, uint32_t connections)
+{
+  return fleet_new_with (
+      seed, hosts, &(struct fleet_options){ .connections = connections });
+}
+
+struct fleet *
+fleet_new_unfenced (uint64_t seed, size_t hosts)
+{
+  return fleet_new_with (
+      seed, hosts,
+      &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                               .unfenced = true });
+}
+
+struct fleet *
+fleet_new_with (uint64_t seed, size_t hosts,
+                const struct fleet_options *options)
 {
   struct fleet *fleet = mem_zalloc (sizeof *fleet);
+  uint32_t connections = options->connections;
+  fleet->unfenced = options->unfenced;
+  fleet->lead_term = 1;
   clk_virtual_init (&fleet->clk, START_MS);
   rng_init (&fleet->rng, seed);
   fleet->log = log_new (&fleet->clk.base, LOG_ERR, 0, NULL, NULL);
@@ -392,6 +414,7 @@
       instance->born = 1;
       instance->announced_ms = CLK_NEVER;
       instance->gone_ms = CLK_NEVER;
+      instance->outdated_ms = CLK_NEVER;
     }
   fleet->instances[0].is_primary = true;
   fleet->config_version = 1;
@@ -451,10 +474,17 @@
 struct fleet_instance *
 fleet_primary (struct fleet *fleet)
 {
+  struct fleet_instance *newest = NULL;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
-    if (fleet->instances[i].is_primary)
-      return &fleet->instances[i];
-  return NULL;
+    {
+      struct fleet_instance *instance = &fleet->instances[i];
+      if (instance->is_primary
+          && (newest == NULL
+              || fleet_instance_term (instance)
+                     > fleet_instance_term (newest)))
+        newest = instance;
+    }
+  return newest;
 }
 
 static void
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -18,6 +18,9 @@
 #define LIMITED_HOSTS 8
 #define LIMITED_CONNECTIONS 24
 
+/* Fleets on a platform that fences no old primaries.  */
+#define UNFENCED_SEEDS 200
+
 #define CALLERS 24
 #define STEPS 900
 /* Time to recover after the last fault.  */
@@ -33,6 +36,8 @@
   int statements_left[CALLERS]; /* in the transaction */
   size_t served;
   bool restarts; /* killed hosts restart at once */
+  bool cuts;     /* failure domains are cut off, messages held up and orders
+                    to promote not answered */
 };
 
 static uint64_t
@@ -171,11 +176,61 @@
     }
 }
 
+/* Cuts failure domain Z off from the others, or heals that.  Hosts reach only
+   the instances on their side.  */
+static void
+cut_domain (struct schedule *s, size_t z, bool cut)
+{
+  struct fleet *fleet = s->fleet;
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      if (i % FLEET_ZONES == z)
+        fleet_instance (fleet, i)->isolated = cut;
+      for (size_t h = 0; h < fleet->host_count; h++)
+        fleet_host (fleet, h)->instances_cut[i]
+            = cut && (h % FLEET_ZONES == z) != (i % FLEET_ZONES == z);
+    }
+  for (size_t h = z; h < fleet->host_count; h += FLEET_ZONES)
+    fleet_host (fleet, h)->store_cut = fleet_host (fleet, h)->peers_cut = cut;
+}
+
+static void
+inject_cut (struct schedule *s)
+{
+  struct fleet_host *host
+      = fleet_host (s->fleet, below (s, s->fleet->host_count));
+  switch (below (s, 6))
+    {
+    case 5:
+      fleet_instance (s->fleet, below (s, FLEET_INSTANCES))->slow_ms
+          = (clk_ms)below (s, 3) * 400;
+      break;
+    case 0:
+    case 1:
+      cut_domain (s, below (s, FLEET_ZONES), true);
+      break;
+    case 2:
+      for (size_t z = 0; z < FLEET_ZONES; z++)
+        cut_domain (s, z, false);
+      break;
+    case 3:
+      host->peers_slow_ms = below (s, 2) ? (clk_ms)below (s, 4000) : 0;
+      break;
+    default:
+      s->fleet->promote_lost_percent = (uint32_t)below (s, 3) * 40;
+    }
+}
+
 static void
 inject_fault (struct schedule *s)
 {
   struct fleet_host *host
       = fleet_host (s->fleet, below (s, s->fleet->host_count));
+  if (s->cuts && below (s, 3) == 0)
+    {
+      inject_cut (s);
+      return;
+    }
   switch (below (s, 9))
     {
     case 8:
@@ -210,11 +265,14 @@
 clear_faults (struct schedule *s)
 {
   fleet_store_down (s->fleet, false);
+  s->fleet->promote_lost_percent = 0;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     {
       struct fleet_instance *instance = fleet_instance (s->fleet, i);
       instance->unreachable = instance->replication_stopped = false;
       instance->unregistered = instance->draining = false;
+      instance->isolated = false;
+      instance->slow_ms = 0;
       instance->busy_percent = instance->lost_percent = 0;
       instance->lag_ms = 8;
     }
@@ -223,6 +281,7 @@
       struct fleet_host *host = fleet_host (s->fleet, i);
       host->store_cut = false;
       host->peers_cut = false;
+      host->peers_slow_ms = 0;
       memset (host->instances_cut, 0, sizeof host->instances_cut);
       if (!host->running)
         fleet_host_start (host);
@@ -270,7 +329,8 @@
 static void
 run_schedule (uint64_t seed, struct fleet *fleet, bool restarts)
 {
-  struct schedule s = { .fleet = fleet, .restarts = restarts };
+  struct schedule s
+      = { .fleet = fleet, .restarts = restarts, .cuts = fleet->unfenced };
   rng_init (&s.rng, seed + 1000000);
   fleet_run (s.fleet, 1500);
   for (int step = 0; step < STEPS && fleet_violation (s.fleet) == NULL; step++)
@@ -369,6 +429,74 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which orders to promote get no answer and take effect late,
+   while primaries and their successors can't be reached for a while.  */
+#define LATE_SEEDS 60
+#define LATE_LENGTH 5
+#define LATE_ROUNDS 4
+
+static void
+run_late (uint64_t seed)
+{
+  struct schedule s = { .fleet = fleet_new_unfenced (seed, HOSTS) };
+  rng_init (&s.rng, seed + 3000000);
+  fleet_run (s.fleet, 6000);
+  for (int round = 0; round < LATE_ROUNDS; round++)
+    {
+      struct fleet_instance *primary = fleet_primary (s.fleet);
+      if (primary == NULL)
+        primary = fleet_instance (s.fleet, below (&s, FLEET_INSTANCES));
+      size_t next = (size_t)(primary - s.fleet->instances) + 1;
+      struct fleet_instance *other
+          = fleet_instance (s.fleet, (next + below (&s, 2)) % FLEET_INSTANCES);
+      s.fleet->promote_lost_percent = 70;
+      primary->unreachable = true;
+      run_callers (&s, 1000 + (clk_ms)below (&s, 1000), STEP_MS);
+      other->unreachable = true;
+      s.fleet->promote_lost_percent = (uint32_t)below (&s, 2) * 70;
+      run_callers (&s, 500 + (clk_ms)below (&s, 3000), STEP_MS);
+      primary->unreachable = below (&s, 3) > 0;
+      run_callers (&s, (clk_ms)below (&s, 1500), STEP_MS);
+      other->unreachable = false;
+      run_callers (&s, 3000, STEP_MS);
+      primary->unreachable = false;
+      run_callers (&s, 4000, STEP_MS);
+    }
+  check_guarantees (&s, seed);
+  fleet_free (s.fleet);
+}
+
+/* Schedules in which the failure domain of a slow primary is cut off, with
+   callers on both sides.  */
+#define CUT_SEEDS 40
+#define CUT_LENGTH 6
+#define CUT_ROUNDS 5
+
+static void
+run_cut (uint64_t seed)
+{
+  struct schedule s = { .fleet = fleet_new_unfenced (seed, HOSTS) };
+  rng_init (&s.rng, seed + 4000000);
+  fleet_run (s.fleet, 6000);
+  for (int round = 0; round < CUT_ROUNDS; round++)
+    {
+      struct fleet_instance *primary = fleet_primary (s.fleet);
+      if (primary == NULL)
+        break;
+      size_t z = (size_t)(primary - s.fleet->instances) % FLEET_ZONES;
+      primary->slow_ms = (clk_ms)below (&s, 2) * 950;
+      run_callers (&s, 500, STEP_MS);
+      cut_domain (&s, z, true);
+      run_callers (&s, 3000 + (clk_ms)below (&s, 3000), STEP_MS);
+      cut_domain (&s, z, false);
+      run_callers (&s, 2000, STEP_MS);
+      primary->slow_ms = 0;
+      run_callers (&s, 2000, STEP_MS);
+    }
+  check_guarantees (&s, seed);
+  fleet_free (s.fleet);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -421,6 +549,27 @@
   run_seeds (LIMITED_SEEDS, 1, run_limited);
 }
 
+static void
+run_unfenced (uint64_t seed)
+{
+  run_schedule (seed, fleet_new_unfenced (seed, HOSTS), seed % 2 == 0);
+}
+
+UNIT_PLAIN (test_guarantees_hold_where_old_primaries_go_on)
+{
+  run_seeds (UNFENCED_SEEDS, 1, run_unfenced);
+}
+
+UNIT_PLAIN (test_guarantees_hold_while_orders_take_effect_late)
+{
+  run_seeds (LATE_SEEDS, LATE_LENGTH, run_late);
+}
+
+UNIT_PLAIN (test_guarantees_hold_while_a_primary_is_cut_off)
+{
+  run_seeds (CUT_SEEDS, CUT_LENGTH, run_cut);
+}
+
 UNIT_PLAIN (test_guarantees_hold_while_the_store_is_restored)
 {
   run_seeds (RESTORED_SEEDS, RESTORED_LENGTH, run_restored);
