The permission names the instance, not its term

Cause: a new primary reports positions of the old term until its first commit (primary_log from_term=1), so a group that waited for a position of the new term never opened. The model of the instances now does the same.

Change: the table of the permissions has the one instance that may be used; that an order has taken effect is told by the term of STATUS.

--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -267,7 +267,8 @@
 
 struct peer_permit_group {
 	peer_name group;
-	u_quad_t floor;
+	peer_name instance;
+	u_quad_t number;
 	bool_t closed;
 };
 typedef struct peer_permit_group peer_permit_group;
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -228,19 +228,20 @@
   peer_item items<PEER_BATCH_LIMIT>;
 };
 
-/* Which primaries of a group may be used: those of term FLOOR or a later one,
-   unless the group is closed.  */
+/* The only instance of a group that may be used as its primary, since change
+   NUMBER; none while the group is closed.  */
 struct peer_permit_group {
   peer_name group;
-  unsigned hyper floor;
+  peer_name instance;
+  unsigned hyper number;
   bool closed;
 };
 
 /* Sent by the holder of the promotion duty: the receiver may use primaries for
    a fixed time from STAMP, which is the time on its own clock that it sent
    with its last reply.  PROCESS, of that reply too, tells whether the receiver
-   has been restarted since; 0: no reply yet.  GROUPS is the table of
-   the holder, or empty if the receiver has it.  */
+   has been restarted since; 0: no reply yet.  GROUPS is the table of the
+   holder, or empty if the receiver has it.  */
 struct peer_permit {
   unsigned hyper token; /* fencing token of the holder */
   unsigned hyper process;
@@ -255,7 +256,7 @@
   unsigned hyper token; /* the highest that the receiver has seen */
   unsigned hyper process;
   hyper stamp;
-  unsigned hyper table_version; /* of the table that it obeys; 0: none of TOKEN */
+  unsigned hyper table_version; /* that it obeys; 0: none of TOKEN */
 };
 
 enum peer_kind {
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -547,7 +547,9 @@
 
 	 if (!xdr_peer_name (xdrs, &objp->group))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->floor))
+	 if (!xdr_peer_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->closed))
 		 return FALSE;
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -424,21 +424,17 @@
 /* Returns whether a commit that succeeded may have run on a primary that had
    been replaced; it is then lost.  */
 static bool
-is_unproven (struct caller *caller, const struct backend *backend,
-             const struct answer *answer)
+is_unproven (struct caller *caller, const struct backend *backend)
 {
   const struct group *group = caller_group (caller);
-  struct position position
-      = answer->has_position ? answer->position : backend_position (backend);
   if (!commits (caller) || group == NULL || MUTANT (trust_commit)
-      || group_commit_covered (group, position))
+      || group_commit_covered (group, backend))
     return false;
   metrics_increment (kernel_metrics (caller_kernel (caller)),
                      "commits_unproven_total");
   log_event (kernel_log (caller_kernel (caller)), LOG_WARNING,
              "commit_unproven", LOG_S ("id", caller->run.id),
              LOG_S ("instance", backend_entry (backend)->id),
-             LOG_U ("term", position.term),
              LOG_S ("lack", permits_lack_name (group_lack (group, backend))),
              LOG_I ("spent_ms", caller_now (caller) - caller->run.sent_ms));
   return true;
@@ -449,7 +445,7 @@
                 const struct answer *answer)
 {
   struct group *group = caller_group (caller);
-  if (is_unproven (caller, backend, answer))
+  if (is_unproven (caller, backend))
     {
       caller_fail_unknown (caller, CODE_INDOUBT,
                            "the primary may have been replaced");
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -48,14 +48,14 @@
 group_lack (const struct group *group, const struct backend *backend)
 {
   return permits_lack (group->groups->permits, group->settings.name,
-                       backend_position (backend).term);
+                       backend_entry (backend)->id);
 }
 
 bool
-group_commit_covered (const struct group *group, struct position position)
+group_commit_covered (const struct group *group, const struct backend *backend)
 {
   return permits_covered (group->groups->permits, group->settings.name,
-                          position.term, group_now (group));
+                          backend_entry (backend)->id, group_now (group));
 }
 
 bool
@@ -81,6 +81,7 @@
   if (before == leader)
     return;
   group->leader = leader;
+  group->proven = false;
   if (leader == NULL)
     group->leaderless_ms = group_now (group);
   log_event (
@@ -205,6 +206,49 @@
   free (instance);
 }
 
+bool
+group_may_lead (const struct group *group, const struct backend *backend)
+{
+  const char *primary
+      = permits_primary (group->groups->permits, group->settings.name);
+  return primary == NULL || strcmp (primary, backend_entry (backend)->id) == 0;
+}
+
+/* Takes over the primary that the holder of the promotion duty has made
+   known.  */
+static void
+follow_permits (struct group *group)
+{
+  const char *primary
+      = permits_primary (group->groups->permits, group->settings.name);
+  if (primary == NULL)
+    return;
+  struct member_instance *instance = find_instance (group, primary);
+  struct backend *leader = instance != NULL ? instance->backend : NULL;
+  if (group->leader == leader)
+    return;
+  group_set_leader (group, leader, "announced");
+  if (leader != NULL)
+    backend_probe (leader);
+}
+
+void
+groups_permits_changed (struct groups *groups)
+{
+  struct group *group, *next;
+  HASH_ITER (hh, groups->table, group, next)
+  {
+    follow_permits (group);
+    group_notify (group);
+  }
+}
+
+bool
+group_leader_proven (const struct group *group)
+{
+  return group->proven;
+}
+
 static struct group *
 ensure_group (struct groups *groups, const char *name)
 {
@@ -285,7 +329,9 @@
       backend_set_entry (instance->backend, entry);
     }
   instance = find_instance (group, entry->id);
-  if (instance == NULL || !entry->is_primary)
+  follow_permits (group);
+  if (instance == NULL || !entry->is_primary
+      || !group_may_lead (group, instance->backend))
     return;
   if (group->leader == NULL || !group->connected)
     group_set_leader (group, instance->backend, "entry");
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -168,14 +168,20 @@
 
 /* Notifies the subscribers of all groups.  */
 void groups_notify_all (struct groups *groups);
+/* Takes over what the permits module knows of the primaries.  */
+void groups_permits_changed (struct groups *groups);
+
+/* Returns whether the instance returned by group_leader has accepted a plain
+   BEGIN since it was found.  */
+bool group_leader_proven (const struct group *group);
 
 /* Returns what lacks now to use BACKEND as the primary of GROUP.  */
 enum permits_lack group_lack (const struct group *group,
                               const struct backend *backend);
-/* Returns whether a commit at POSITION that was answered now ran while no
-   later primary was in use.  */
+/* Returns whether a commit of BACKEND that was answered now ran while no later
+   primary was in use.  */
 bool group_commit_covered (const struct group *group,
-                           struct position position);
+                           const struct backend *backend);
 /* Returns whether this host's permission to use primaries ended more than
    GROUP_LAPSE_MS ago.  */
 bool groups_lapsed (const struct groups *groups);
--- a/src/proxy/group_confirm.c
+++ b/src/proxy/group_confirm.c
@@ -105,16 +105,17 @@
      newer one.  */
   if (position.term < samples_newest (&group->samples).term)
     return;
-  if (position.term < permits_floor (permits, group->settings.name))
+  if (!group_may_lead (group, backend))
     {
       group_reject_leader (group, backend);
       return;
     }
   group_set_leader (group, backend, "proven");
+  group->proven = true;
   find_caught_up (group, backend);
   if (!group_leader_caught_up (group, backend, position)
-      || !permits_covered (permits, group->settings.name, position.term,
-                           sent_ms))
+      || !permits_covered (permits, group->settings.name,
+                           backend_entry (backend)->id, sent_ms))
     return;
   samples_add (&group->samples, position, sent_ms);
   group_notify (group);
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -25,6 +25,7 @@
   size_t count;
   struct member_instance *instances[GROUP_INSTANCES];
   struct backend *leader;
+  bool proven; /* LEADER has accepted a plain BEGIN since it was found */
   /* Once the log of CAUGHT_UP, the primary, has reached CAUGHT_UP_AT, it
      contains all acknowledged commits.  */
   struct backend *caught_up;
@@ -65,6 +66,9 @@
 /* Sets the primary, or NULL; WHY goes to the log.  */
 void group_set_leader (struct group *group, struct backend *leader,
                        const char *why);
+/* Returns whether BACKEND is not known to have been replaced as the
+   primary.  */
+bool group_may_lead (const struct group *group, const struct backend *backend);
 /* Notifies all subscribers of a change.  */
 void group_notify (struct group *group);
 
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -16,7 +16,8 @@
 struct permit_group
 {
   char name[NAME_BYTES];
-  uint64_t floor;
+  char instance[NAME_BYTES]; /* the only primary; empty: any */
+  uint64_t number;           /* of the change to it */
   bool closed;
   uint64_t version; /* of the table that closed it; for the holder */
   UT_hash_handle hh;
@@ -98,11 +99,25 @@
   return permits->fenced;
 }
 
+const char *
+permits_primary (const struct permits *permits, const char *group)
+{
+  const struct permit_group *found = find_group (permits, group);
+  return found != NULL && found->instance[0] != '\0' ? found->instance : NULL;
+}
+
 uint64_t
-permits_floor (const struct permits *permits, const char *group)
+permits_number (const struct permits *permits, const char *group)
 {
   const struct permit_group *found = find_group (permits, group);
-  return found != NULL ? found->floor : 0;
+  return found != NULL ? found->number : 0;
+}
+
+/* Returns whether another instance than INSTANCE is or becomes the primary. */
+static bool
+is_replaced (const struct permit_group *group, const char *instance)
+{
+  return group->instance[0] != '\0' && strcmp (group->instance, instance) != 0;
 }
 
 bool
@@ -119,7 +134,8 @@
 }
 
 enum permits_lack
-permits_lack (const struct permits *permits, const char *group, uint64_t term)
+permits_lack (const struct permits *permits, const char *group,
+              const char *instance)
 {
   const struct permit_group *found;
   if (permits->fenced || MUTANT (ignore_permissions))
@@ -127,7 +143,7 @@
   found = find_group (permits, group);
   if (found != NULL && found->closed)
     return PERMITS_CLOSED;
-  if (found != NULL && term < found->floor)
+  if (found != NULL && is_replaced (found, instance))
     return PERMITS_REPLACED;
   if (permits->end_ms == CLK_LONG_AGO)
     return PERMITS_NONE;
@@ -151,13 +167,13 @@
 
 bool
 permits_covered (const struct permits *permits, const char *group,
-                 uint64_t term, clk_ms at_ms)
+                 const char *instance, clk_ms at_ms)
 {
   const struct permit_group *found;
   if (permits->fenced || MUTANT (ignore_permissions))
     return true;
   found = find_group (permits, group);
-  if (found != NULL && (found->closed || term < found->floor))
+  if (found != NULL && (found->closed || is_replaced (found, instance)))
     return false;
   return at_ms < permits->end_ms || MUTANT (endless_permission);
 }
@@ -207,11 +223,12 @@
       if (group == NULL)
         continue;
       group->closed = row->closed;
-      if (row->floor > group->floor)
-        group->floor = row->floor;
+      group->number = row->number;
+      if (!text_copy (group->instance, NAME_BYTES, row->instance))
+        group->closed = true;
     }
   permits->obeys = permit->table_version;
-  groups_notify_all (permits->groups);
+  groups_permits_changed (permits->groups);
 }
 
 static void
@@ -319,7 +336,10 @@
   permit->groups.groups_val = rows;
   for (group = permits->table; group != NULL; group = group->hh.next)
     rows[permit->groups.groups_len++] = (peer_permit_group){
-      .group = group->name, .floor = group->floor, .closed = group->closed
+      .group = group->name,
+      .instance = group->instance,
+      .number = group->number,
+      .closed = group->closed,
     };
 }
 
@@ -418,11 +438,11 @@
 {
   struct permits *permits = arg;
   struct permit_group *group = ensure_group (permits, record->group);
-  if (group == NULL || (group->floor >= record->floor && !group->closed))
+  if (group == NULL || (group->number >= record->number && !group->closed))
     return;
   group->closed = true;
-  if (record->floor > group->floor)
-    group->floor = record->floor;
+  group->number = record->number;
+  memcpy (group->instance, record->candidate, NAME_BYTES);
 }
 
 /* Returns whether this host holds the duty.  Prepares for it if that is
@@ -521,39 +541,59 @@
   kernel_timer_set (permits->base.kernel, &permits->tick, now_ms (permits));
 }
 
+/* Sends the table after a change of GROUP.  */
 static void
-change_group (struct permits *permits, const char *name, uint64_t floor,
-              bool closed)
+publish (struct permits *permits, const struct permit_group *group)
+{
+  log_event (kernel_log (permits->base.kernel), LOG_NOTICE,
+             group->closed ? "group_closed" : "group_opened",
+             LOG_S ("group", group->name), LOG_S ("primary", group->instance),
+             LOG_U ("number", group->number), LOG_U ("token", permits->held));
+  groups_permits_changed (permits->groups);
+  send_all (permits);
+}
+
+void
+permits_close (struct permits *permits, const char *name)
 {
   struct permit_group *group;
   if (permits->fenced || !check_duty (permits))
     return;
   group = ensure_group (permits, name);
-  if (group == NULL || (group->closed == closed && group->floor >= floor))
+  if (group == NULL || group->closed)
     return;
-  permits->version++;
-  if (closed && !group->closed)
-    group->version = permits->version;
-  group->closed = closed;
-  if (floor > group->floor)
-    group->floor = floor;
-  log_event (kernel_log (permits->base.kernel), LOG_NOTICE,
-             closed ? "group_closed" : "group_opened", LOG_S ("group", name),
-             LOG_U ("floor", group->floor), LOG_U ("token", permits->held));
-  groups_notify_all (permits->groups);
-  send_all (permits);
+  group->closed = true;
+  group->version = ++permits->version;
+  publish (permits, group);
 }
 
 void
-permits_close (struct permits *permits, const char *group, uint64_t floor)
+permits_expect (struct permits *permits, const char *name,
+                const char *instance, uint64_t number)
 {
-  change_group (permits, group, floor, true);
+  struct permit_group *group;
+  if (permits->fenced || !check_duty (permits))
+    return;
+  group = ensure_group (permits, name);
+  if (group == NULL || !text_copy (group->instance, NAME_BYTES, instance))
+    return;
+  group->number = number;
+  permits->version++;
+  groups_permits_changed (permits->groups);
 }
 
 void
-permits_open (struct permits *permits, const char *group, uint64_t floor)
+permits_open (struct permits *permits, const char *name, const char *instance)
 {
-  change_group (permits, group, floor, false);
+  struct permit_group *group;
+  if (permits->fenced || !check_duty (permits))
+    return;
+  group = ensure_group (permits, name);
+  if (group == NULL || !text_copy (group->instance, NAME_BYTES, instance))
+    return;
+  group->closed = false;
+  permits->version++;
+  publish (permits, group);
 }
 
 bool
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -9,13 +9,13 @@
    The holder of the promotion duty renews the permission of every host by
    messages.  A permission counts from the time at which the host sent its last
    reply, by the host's clock, so a message that was held up does not extend
-   it.  With it goes a table: for each group the lowest term whose primary may
-   be used, and whether the group is closed.
+   it.  With it goes a table: for each group whose primary has changed, the
+   only instance that may be used as primary, and whether the group is closed.
 
    Before an unreachable primary is replaced, the holder closes the group, and
    waits until each host has confirmed the table or its permission has ended;
-   then no host uses the old primary.  The group is opened once the new primary
-   has been seen, with its term as the lowest.
+   then no host uses the old primary.  The group is opened for the new one once
+   that has been seen to lead.
 
    A new holder does not know whose permissions earlier holders have renewed.
    It waits until all of those have ended.  During an outage of the store the
@@ -62,7 +62,7 @@
   PERMITS_NONE,    /* no permission yet */
   PERMITS_ENDED,   /* the permission has ended */
   PERMITS_CLOSED,  /* the group is closed */
-  PERMITS_REPLACED /* the instance is the primary of an earlier term */
+  PERMITS_REPLACED /* another instance is the primary */
 };
 
 struct permits;
@@ -74,17 +74,19 @@
 
 bool permits_fenced (const struct permits *permits);
 
-/* Returns what lacks now to use the primary of TERM of GROUP.  */
+/* Returns what lacks now to use INSTANCE as the primary of GROUP.  */
 enum permits_lack permits_lack (const struct permits *permits,
-                                const char *group, uint64_t term);
+                                const char *group, const char *instance);
 const char *permits_lack_name (enum permits_lack lack);
 
-/* Returns whether no later primary than that of TERM was in use at AT_MS.  */
+/* Returns whether no primary of GROUP that replaces INSTANCE was in use at
+   AT_MS.  */
 bool permits_covered (const struct permits *permits, const char *group,
-                      uint64_t term, clk_ms at_ms);
+                      const char *instance, clk_ms at_ms);
 
-/* Returns the lowest term whose primary may be used.  */
-uint64_t permits_floor (const struct permits *permits, const char *group);
+/* Returns the instance of GROUP that is or becomes its only primary; NULL if
+   its primary has not changed yet.  */
+const char *permits_primary (const struct permits *permits, const char *group);
 
 /* Returns when the permission ends or ended; CLK_LONG_AGO if there was
    none.  */
@@ -92,13 +94,21 @@
 
 /* The functions below are for the holder of the duty.  */
 
-/* Closes GROUP on all hosts.  Its next primary will be of term FLOOR or
-   later.  */
-void permits_close (struct permits *permits, const char *group,
-                    uint64_t floor);
-void permits_open (struct permits *permits, const char *group, uint64_t floor);
+/* Closes GROUP on all hosts.  */
+void permits_close (struct permits *permits, const char *group);
 bool permits_closed (const struct permits *permits, const char *group);
 
+/* Tells that change NUMBER of the primary of GROUP, to INSTANCE, has been
+   recorded.  */
+void permits_expect (struct permits *permits, const char *group,
+                     const char *instance, uint64_t number);
+/* Returns the number of the last change of the primary of GROUP.  */
+uint64_t permits_number (const struct permits *permits, const char *group);
+
+/* Lets all hosts use INSTANCE as the primary of GROUP.  */
+void permits_open (struct permits *permits, const char *group,
+                   const char *instance);
+
 /* Returns whether no host uses a primary of GROUP, which is closed.  */
 bool permits_recalled (const struct permits *permits, const char *group);
 
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -54,10 +54,12 @@
   clk_ms unreachable_since_ms; /* for the holder of the duty, or CLK_NEVER */
   clk_ms partly_cut_since_ms;  /* for two thirds of the hosts, or CLK_NEVER */
   uint64_t token;
-  bool ordered;         /* recorded, and the new primary not seen yet */
-  uint64_t newest_term; /* that an instance has reported */
-  uint64_t floor;       /* lowest possible term of the new primary */
-  uint64_t read_token;  /* of this holder, when it read the record */
+  bool ordered;        /* recorded, and the new primary not seen yet */
+  bool confirmed;      /* CHOSEN leads, and not by an earlier order */
+  uint64_t floor;      /* lowest possible term of the new primary */
+  clk_ms accepted_ms;  /* when the order was accepted, or CLK_NEVER */
+  uint64_t number;     /* of the last order */
+  uint64_t read_token; /* of this holder, when it read the record */
   struct floating floating[ROSTER_FLOATING];
   clk_ms closed_ms; /* when the group was found closed, or CLK_NEVER */
   struct status_query *query;
@@ -174,6 +176,9 @@
   switch (result)
     {
     case PROMOTE_ACCEPTED:
+      change->accepted_ms = now_ms (change);
+      set_stage (change, CHANGE_AWAITED);
+      break;
     case PROMOTE_UNKNOWN:
       set_stage (change, CHANGE_AWAITED);
       break;
@@ -213,7 +218,8 @@
 static void
 record_order (struct change *change)
 {
-  struct roster_record record = { .floor = change->floor };
+  struct roster_record record
+      = { .number = change->number, .floor = change->floor };
   text_copy (record.group, sizeof record.group, change->group);
   text_copy (record.candidate, sizeof record.candidate, change->chosen);
   for (size_t i = 0; i < ROSTER_FLOATING; i++)
@@ -224,38 +230,22 @@
   roster_record_order (change->promoter->roster, &record, on_verified, change);
 }
 
-/* Sets the lowest possible term of the new primary.  An instance that leads in
-   the newest term already does not begin another one.  */
-static void
-set_floor (struct change *change, const struct group *group,
-           const struct status_row *chosen)
-{
-  uint64_t newest = samples_newest (group_samples (group)).term;
-  if (newest > change->newest_term)
-    change->newest_term = newest;
-  bool leads = chosen != NULL && chosen->status.is_primary
-               && chosen->status.term == change->newest_term;
-  change->floor = permits_floor (change->promoter->permits, change->group);
-  if (change->floor < change->newest_term + !leads)
-    change->floor = change->newest_term + !leads;
-}
-
-/* Orders the promotion of ID.  CHOSEN is its state; NULL if not known.  */
 static void
-order_promotion (struct change *change, const char *id,
-                 const struct status_row *chosen)
+order_promotion (struct change *change, const char *id)
 {
   struct promoter *promoter = change->promoter;
-  struct group *group = group_of (change);
   text_copy (change->chosen, sizeof change->chosen, id);
   set_stage (change, CHANGE_VERIFYING);
-  if (permits_fenced (promoter->permits) || group == NULL)
+  if (permits_fenced (promoter->permits))
     {
       roster_verify_duty (promoter->roster, on_verified, change);
       return;
     }
-  set_floor (change, group, chosen);
+  change->number++;
   change->ordered = true;
+  change->confirmed = false;
+  change->accepted_ms = CLK_NEVER;
+  permits_expect (promoter->permits, change->group, id, change->number);
   record_order (change);
 }
 
@@ -271,17 +261,23 @@
   return NULL;
 }
 
+/* Sets the lowest term in which CHOSEN can lead by the next order: the one
+   after its own.  If its state is not known, the one after all known terms. */
 static void
-note_terms (struct change *change, const struct status_row *rows, size_t count)
+set_floor (struct change *change, const struct group *group,
+           const struct status_row *chosen, const struct status_row *rows,
+           size_t count)
 {
+  uint64_t newest = samples_newest (group_samples (group)).term;
   for (size_t i = 0; i < count; i++)
     {
       const struct instance_status *status = &rows[i].status;
-      if (rows[i].answered && status->term > change->newest_term)
-        change->newest_term = status->term;
-      if (rows[i].answered && status->received.term > change->newest_term)
-        change->newest_term = status->received.term;
+      if (rows[i].answered && status->term > newest)
+        newest = status->term;
+      if (rows[i].answered && status->received.term > newest)
+        newest = status->received.term;
     }
+  change->floor = (chosen->status.term > 0 ? chosen->status.term : newest) + 1;
 }
 
 /* Returns the row with the most advanced log, the newest term first, or NULL
@@ -329,7 +325,6 @@
   const struct status_row *best = most_advanced (rows, count);
   const struct status_row *before = ordered_before (change, rows, count);
   change->query = NULL;
-  note_terms (change, rows, count);
   if (best == NULL || group == NULL)
     {
       abort_change (change, "no instance answers", PROMOTER_RETRY_MS);
@@ -351,8 +346,7 @@
       if (now_ms (change) - change->started_ms < PROMOTER_CATCH_UP_TIMEOUT_MS)
         query_positions (change);
       else
-        order_promotion (change, change->old,
-                         NULL); /* only it has all commits */
+        order_promotion (change, change->old); /* only it has all commits */
       return;
     }
   if (has_old_term (change, group, best->status.received.term))
@@ -363,7 +357,8 @@
     }
   if (before != NULL && group_settings (group)->sync_replicas == 0)
     best = before;
-  order_promotion (change, best->id, best);
+  set_floor (change, group, best, rows, count);
+  order_promotion (change, best->id);
 }
 
 /* Lists the instances to be queried before a promotion; returns their number.
@@ -422,6 +417,7 @@
       return;
     }
   change->final = rows[0].status.received;
+  change->floor = rows[0].status.term + 1;
   log_change (change, "stepped_down", change->old);
   query_positions (change);
 }
@@ -502,6 +498,8 @@
 {
   struct group *group = group_of (change);
   struct permits *permits = change->promoter->permits;
+  status_query_free (change->query);
+  change->query = NULL;
   change->why = why;
   change->hand_over = hand_over;
   change->started_ms = now_ms (change);
@@ -519,8 +517,7 @@
       check_replicas (change, group);
       return;
     }
-  permits_close (permits, change->group,
-                 permits_floor (permits, change->group));
+  permits_close (permits, change->group);
   set_stage (change, CHANGE_RECALLING);
   continue_recall (change, group);
 }
@@ -604,30 +601,49 @@
     start_change (change, NULL, false, "no known primary");
 }
 
-static bool
-has_instance (struct group *group, const char *id)
+static void
+on_confirmed (void *arg, const struct status_row *rows, size_t count)
 {
-  struct backend *all[GROUP_INSTANCES];
-  size_t count = group_instances (group, all);
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (backend_entry (all[i])->id, id) == 0)
-      return true;
-  return false;
+  struct change *change = arg;
+  change->query = NULL;
+  if (count != 1 || !rows[0].answered || !rows[0].status.is_primary
+      || strcmp (rows[0].id, change->chosen) != 0)
+    return;
+  /* An order for the present primary changes nothing.  */
+  bool changes_nothing
+      = change->accepted_ms != CLK_NEVER
+        && now_ms (change) - change->accepted_ms >= PROMOTER_EFFECT_MS;
+  change->confirmed |= rows[0].status.term >= change->floor || changes_nothing;
+}
+
+/* Queries whether the primary that was ordered leads by that order: it may
+   have led before, and go on though it was replaced.  */
+static void
+confirm (struct change *change, struct backend *leader)
+{
+  struct promoter *promoter = change->promoter;
+  if (change->query != NULL)
+    return;
+  change->query = status_query_new (
+      promoter->base.kernel, promoter->options.parse_status, 1, &leader,
+      STMT_STATUS, 0, PROMOTER_QUERY_TIMEOUT_MS, on_confirmed, change);
 }
 
-/* Returns whether LEADER is the primary that the last change has led to.  */
+/* Returns whether the primary is known that the last change has led to.  */
 static bool
-is_new_primary (struct change *change, struct group *group,
-                const struct backend *leader)
+has_new_primary (struct change *change, struct group *group)
 {
-  if (leader == NULL)
+  struct backend *leader = group_leader (group);
+  if (leader == NULL
+      || strcmp (backend_entry (leader)->id, change->chosen) != 0)
     return false;
-  bool chosen = strcmp (backend_entry (leader)->id, change->chosen) == 0;
   if (permits_fenced (change->promoter->permits))
-    return chosen;
-  return backend_usable (leader)
-         && (chosen || !has_instance (group, change->chosen))
-         && backend_position (leader).term >= change->floor;
+    return true;
+  if (!backend_usable (leader) || !group_leader_proven (group))
+    return false;
+  if (!change->confirmed)
+    confirm (change, leader);
+  return change->confirmed;
 }
 
 /* Lets the hosts use the primary again, if only one instance can be it now.
@@ -638,13 +654,12 @@
   struct permits *permits = change->promoter->permits;
   struct backend *leader = group_leader (group);
   if (leader == NULL || !backend_usable (leader)
-      || backend_position (leader).term
-             < permits_floor (permits, change->group)
-      || (change->ordered && !is_new_primary (change, group, leader))
+      || !group_leader_proven (group)
+      || (change->ordered && !has_new_primary (change, group))
       || floating_other (change, backend_entry (leader)->id) != NULL)
     return false;
   change->ordered = false;
-  permits_open (permits, change->group, backend_position (leader).term);
+  permits_open (permits, change->group, backend_entry (leader)->id);
   return true;
 }
 
@@ -658,10 +673,17 @@
   if (permits_fenced (promoter->permits) || change->read_token == token)
     return;
   change->read_token = token;
-  change->ordered = false;
+  change->ordered = change->confirmed = false;
+  change->accepted_ms = CLK_NEVER;
+  change->number = permits_number (promoter->permits, change->group);
   if (!roster_find_record (promoter->roster, change->group, &record))
     return;
-  change->ordered = permits_closed (promoter->permits, change->group);
+  change->ordered = permits_closed (promoter->permits, change->group)
+                    && change->number == record.number;
+  if (change->number < record.number)
+    change->number = record.number;
+  if (!change->ordered)
+    return;
   change->floor = record.floor;
   text_copy (change->chosen, sizeof change->chosen, record.candidate);
   add_floating (change, record.candidate);
@@ -676,9 +698,13 @@
 {
   if (change->closed_ms == CLK_NEVER)
     change->closed_ms = now_ms (change);
-  if (try_to_open (change, group) || !change->ordered)
-    return !change->ordered
-           && !permits_closed (change->promoter->permits, change->group);
+  if (try_to_open (change, group))
+    return true;
+  if (!change->ordered)
+    return false;
+  /* An order for another instance may still take effect.  */
+  if (has_new_primary (change, group))
+    return true;
   if (now_ms (change) - change->closed_ms >= PROMOTER_PENDING_MS
       && now_ms (change) >= change->next_ms)
     start_change (change, NULL, false,
@@ -693,9 +719,7 @@
   if (change->ordered && try_to_open (change, group))
     abort_change (change, "an earlier order has taken effect", 0);
   else if (!change->ordered && !change->hand_over && leader != NULL
-           && backend_usable (leader)
-           && backend_position (leader).term
-                  >= permits_floor (change->promoter->permits, change->group))
+           && backend_usable (leader) && group_leader_proven (group))
     abort_change (change, "the primary is reachable again", 0);
   else
     continue_recall (change, group);
@@ -715,7 +739,7 @@
     }
   if (change->stage == CHANGE_AWAITED)
     {
-      if (is_new_primary (change, group, leader))
+      if (has_new_primary (change, group))
         {
           log_change (change, "promotion_done", change->chosen);
           change->first_attempt_ms = CLK_NEVER;
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -63,6 +63,10 @@
    over.  */
 #define PROMOTER_PARTIAL_CUT_MS 400
 
+/* An order that was accepted has taken effect after this; until then an
+   instance that leads may have been replaced already.  */
+#define PROMOTER_EFFECT_MS 1500
+
 /* An order without an answer may still take effect for this long.  */
 #define PROMOTER_LATE_MS 8000
 
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -15,9 +15,9 @@
      savoryway/secret                     secret shared by the hosts for
                                           their messages, in hexadecimal
      savoryway/duty                       "HOST INCARNATION" of the holder
-     savoryway/primaries/GROUP            "FLOOR CANDIDATE [INSTANCE...]": the
-                                          change of primary ordered last, see
-                                          roster_record
+     savoryway/primaries/GROUP            "NUMBER FLOOR CANDIDATE [INSTANCE...]":
+                                          the change of primary ordered last,
+                                          see roster_record
      savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of failure
                                           domain DOMAIN, can't reach INSTANCE
 
@@ -109,13 +109,14 @@
 #define ROSTER_FLOATING 3
 
 /* An order to promote, recorded before it is sent, so that later holders of
-   the duty know of it.  The new primary is of term FLOOR or later.  FLOATING
-   are other instances whose promotion was ordered before without an answer,
+   the duty know of it.  NUMBER rises with each order of a group.  FLOATING are
+   other instances whose promotion was ordered before without an answer,
    and may still take effect.  */
 struct roster_record
 {
   char group[NAME_BYTES];
-  uint64_t floor;
+  uint64_t number;
+  uint64_t floor; /* lowest possible term of the new primary */
   char candidate[NAME_BYTES];
   size_t floating_count;
   char floating[ROSTER_FLOATING][NAME_BYTES];
--- a/src/proxy/roster_records.c
+++ b/src/proxy/roster_records.c
@@ -21,8 +21,8 @@
   return length > 0 && length < KEY_BYTES;
 }
 
-/* Parses "FLOOR CANDIDATE [INSTANCE...]".  Returns false for anything else,
-   which another writer must have left.  */
+/* Parses "NUMBER FLOOR CANDIDATE [INSTANCE...]".  Returns false for anything
+   else, which another writer must have left.  */
 static bool
 parse_record (const struct roster_key *key, struct roster_record *record)
 {
@@ -32,9 +32,9 @@
   *record = (struct roster_record){ 0 };
   if (!text_copy (record->group, NAME_BYTES,
                   key->name + strlen (RECORDS_PREFIX))
-      || sscanf (text, "%" SCNu64 " %63s%n", &record->floor, record->candidate,
-                 &used)
-             != 2)
+      || sscanf (text, "%" SCNu64 " %" SCNu64 " %63s%n", &record->number,
+                 &record->floor, record->candidate, &used)
+             != 3)
     return false;
   text += used;
   while (record->floating_count < ROSTER_FLOATING
@@ -96,8 +96,9 @@
   struct verification *check = roster_begin_verification (roster, done, arg);
   const struct roster_key *duty = roster_find_key (roster, DUTY_KEY);
   char name[KEY_BYTES], value[sizeof duty->value];
-  size_t used = (size_t)snprintf (value, sizeof value, "%" PRIu64 " %s",
-                                  record->floor, record->candidate);
+  size_t used
+      = (size_t)snprintf (value, sizeof value, "%" PRIu64 " %" PRIu64 " %s",
+                          record->number, record->floor, record->candidate);
   for (size_t i = 0; i < record->floating_count && used < sizeof value; i++)
     used += (size_t)snprintf (value + used, sizeof value - used, " %s",
                               record->floating[i]);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -71,6 +71,9 @@
   struct position applied;
   struct position received;
   bool is_primary;
+  /* In which it leads, or the newest that it knows.  Its log shows it from the
+     first commit on.  */
+  uint64_t term;
   /* Term of a primary that has not applied its log yet, else 0.  */
   uint64_t unapplied_term;
   bool draining;
@@ -178,14 +181,6 @@
 /* Returns the current primary, or NULL.  */
 struct fleet_instance *fleet_primary (struct fleet *fleet);
 
-/* Returns the term in which INSTANCE leads or led last.  */
-static inline uint64_t
-fleet_instance_term (const struct fleet_instance *instance)
-{
-  return instance->unapplied_term != 0 ? instance->unapplied_term
-                                       : instance->applied.term;
-}
-
 /* Makes the store stop answering (DOWN) or answer again.  */
 void fleet_store_down (struct fleet *fleet, bool down);
 /* Drops all pending watches: the store never answers them, though their
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -210,12 +210,14 @@
 {
   struct replication *step = mem_zalloc (sizeof *step);
   if (replica->replication_stopped || replica->unreachable || replica->isolated
-      || position.term < replica->received.term)
+      || position.term < replica->term)
     {
       free (step);
       return;
     }
   replica->received = position;
+  if (position.term > replica->term)
+    replica->term = position.term;
   *step = (struct replication){ replica, position };
   fleet_schedule (replica->fleet, replica->lag_ms, apply, step);
 }
@@ -244,6 +246,7 @@
         continue;
       demote (instance);
       instance->applied = instance->received = fleet->lead_start;
+      instance->term = fleet->lead_term;
       instance->was_stopped = true; /* receives the rest now */
     }
 }
@@ -276,9 +279,7 @@
 {
   if (primary->unapplied_term == 0)
     return;
-  primary->applied
-      = (struct position){ primary->unapplied_term, primary->received.lsn };
-  primary->received = primary->applied;
+  primary->applied = primary->received;
   primary->unapplied_term = 0;
 }
 
@@ -296,6 +297,7 @@
   struct fleet_instance *primary = link->instance;
   apply_received (primary);
   primary->applied.lsn++;
+  primary->applied.term = primary->term;
   primary->received = primary->applied;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     {
@@ -457,7 +459,7 @@
 static void
 do_stepdown (struct instance_link *link, const struct queued_statement *sent)
 {
-  if (sent->term > link->instance->applied.term)
+  if (sent->term > link->instance->term)
     demote (link->instance);
 }
 
@@ -467,9 +469,7 @@
   const struct fleet_instance *instance = link->instance;
   snprintf (link->body, sizeof link->body,
             "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 0\r\n",
-            instance->is_primary ? "primary" : "replica",
-            instance->unapplied_term != 0 ? instance->unapplied_term
-                                          : instance->received.term,
+            instance->is_primary ? "primary" : "replica", instance->term,
             instance->received.term, instance->received.lsn);
   link->answer.body = link->body;
   link->answer.body_bytes = strlen (link->body);
@@ -739,6 +739,7 @@
     return;
   instance->applied = start;
   instance->received = start;
+  instance->term = primary->term;
 }
 
 static void
@@ -749,17 +750,15 @@
   struct fleet_instance *candidate = &fleet->instances[request->instance];
   struct fleet_instance *old = fleet_primary (fleet);
   uint64_t term = candidate->received.term;
-  for (size_t i = 0; i < FLEET_INSTANCES; i++)
-    if (fleet->instances[i].received.term > term)
-      term = fleet->instances[i].received.term;
-  if (fleet->unfenced && term < fleet->lead_term)
+  if (term < fleet->lead_term)
     term = fleet->lead_term;
   if (old != candidate && !candidate->unreachable)
     {
       if (old != NULL && !fleet->unfenced)
         demote (old);
       oracle_rolled_back (fleet, candidate->received, term + 1);
-      struct position start = { term + 1, candidate->received.lsn };
+      struct position start = candidate->received;
+      candidate->term = term + 1;
       candidate->is_primary = true;
       candidate->unapplied_term = term + 1;
       fleet->lead_term = term + 1;
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -407,6 +407,7 @@
       instance->fleet = fleet;
       snprintf (instance->id, NAME_BYTES, "i-%zu", i);
       snprintf (instance->zone, NAME_BYTES, "zone-%zu", i % FLEET_ZONES);
+      instance->term = 1;
       instance->applied = (struct position){ 1, 0 };
       instance->received = instance->applied;
       instance->lag_ms = 8;
@@ -479,9 +480,7 @@
     {
       struct fleet_instance *instance = &fleet->instances[i];
       if (instance->is_primary
-          && (newest == NULL
-              || fleet_instance_term (instance)
-                     > fleet_instance_term (newest)))
+          && (newest == NULL || instance->term > newest->term))
         newest = instance;
     }
   return newest;
