--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -291,6 +291,8 @@
 	u_quad_t process;
 	quad_t stamp;
 	u_quad_t table_version;
+	u_quad_t held_token;
+	quad_t inherited_ms;
 };
 typedef struct peer_permitted peer_permitted;
 
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -257,6 +257,10 @@
   unsigned hyper process;
   hyper stamp;
   unsigned hyper table_version; /* that it obeys; 0: none of TOKEN */
+  /* If the receiver held the duty before: its token then, and when the
+     permissions that it had not renewed itself have ended.  */
+  unsigned hyper held_token;
+  hyper inherited_ms;
 };
 
 enum peer_kind {
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -590,6 +590,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->held_token))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->inherited_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -34,6 +34,8 @@
   uint64_t obeys;   /* version of the table; 0: none of this holder */
   clk_ms replied_ms;
   clk_ms vouched_ms; /* when the message was sent that it answered last */
+  clk_ms obeyed_ms;  /* when it first did under the present token, or
+                        CLK_NEVER */
   clk_ms sent_ms;
   clk_ms until_ms; /* its permission ends before that */
   uint64_t call;
@@ -57,7 +59,10 @@
   uint64_t held; /* its token; 0: another host holds the duty */
   uint64_t version;
   clk_ms taken_ms;
-  clk_ms majority_ms; /* most hosts have answered; or CLK_NEVER */
+  clk_ms majority_ms;        /* most hosts have answered; or CLK_NEVER */
+  uint64_t noted;            /* the highest token read from the store */
+  char holder[NAME_BYTES];   /* that has it */
+  char previous[NAME_BYTES]; /* that had the one noted before; or empty */
   uint64_t hosts_version;
   struct grantee *grantees;
   struct ktimer tick;
@@ -323,6 +328,8 @@
   grantee->replied_ms = now_ms (permits);
   grantee->vouched_ms = grantee->sent_ms;
   grantee->obeys = permitted->table_version;
+  if (grantee->obeyed_ms == CLK_NEVER)
+    grantee->obeyed_ms = now_ms (permits);
   if (first || grantee->obeys != permits->version)
     send_permit (grantee);
 }
@@ -349,7 +356,7 @@
   struct permits *permits = grantee->permits;
   peer_body body = { .kind = PEER_KIND_PERMIT };
   peer_permit *permit = &body.peer_body_u.permit;
-  if (!may_renew (permits))
+  if (!may_renew (permits) || !hosts_ready (permits->hosts))
     return;
   peer_permit_group *rows
       = mem_zalloc ((HASH_COUNT (permits->table) + 1) * sizeof *rows);
@@ -391,6 +398,7 @@
       grantee->permits = permits;
       grantee->replied_ms = grantee->vouched_ms = CLK_LONG_AGO;
       grantee->sent_ms = grantee->until_ms = CLK_LONG_AGO;
+      grantee->obeyed_ms = CLK_NEVER;
       memcpy (grantee->address.name, host->address.name, NAME_BYTES);
       HASH_ADD_STR (permits->grantees, address.name, grantee);
     }
@@ -473,6 +481,7 @@
     {
       grantee->obeys = 0;
       grantee->vouched_ms = CLK_LONG_AGO;
+      grantee->obeyed_ms = CLK_NEVER;
     }
   return true;
 }
@@ -483,9 +492,16 @@
 inherited_end_ms (const struct permits *permits)
 {
   clk_ms end_ms = permits->taken_ms + ROSTER_OUTAGE_GRACE_MS;
+  const struct grantee *previous;
   if (permits->majority_ms != CLK_NEVER
       && permits->majority_ms + PERMITS_VOUCH_MS < end_ms)
     end_ms = permits->majority_ms + PERMITS_VOUCH_MS;
+  /* Once the holder before knows of this one, it renews nothing.  */
+  HASH_FIND_STR (permits->grantees, permits->previous, previous);
+  if (previous != NULL && previous->obeyed_ms < end_ms)
+    end_ms = previous->obeyed_ms;
+  if (strcmp (permits->previous, hosts_own_name (permits->hosts)) == 0)
+    end_ms = permits->taken_ms;
   return end_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
 }
 
@@ -496,7 +512,9 @@
   struct grantee *grantee;
   for (grantee = permits->grantees; grantee != NULL;
        grantee = grantee->hh.next)
-    if (grantee->call == 0 && now_ms (permits) - grantee->sent_ms >= span_ms)
+    if (grantee->call == 0
+        && now_ms (permits) - grantee->sent_ms
+               >= (grantee->process != 0 ? span_ms : PERMITS_GREET_MS))
       send_permit (grantee);
 }
 
@@ -533,10 +551,16 @@
 }
 
 void
-permits_note_duty (struct permits *permits, uint64_t token)
+permits_note_duty (struct permits *permits, const char *host, uint64_t token)
 {
   if (permits->fenced)
     return;
+  if (host != NULL && token > permits->noted)
+    {
+      memcpy (permits->previous, permits->holder, NAME_BYTES);
+      text_copy (permits->holder, sizeof permits->holder, host);
+      permits->noted = token;
+    }
   note_token (permits, token);
   kernel_timer_set (permits->base.kernel, &permits->tick, now_ms (permits));
 }
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -52,6 +52,9 @@
    this long: the store may have lost it.  */
 #define PERMITS_FORGET_MS 10000
 
+/* Interval of the messages to a host that has not replied yet.  */
+#define PERMITS_GREET_MS 150
+
 #define PERMITS_CALL_TIMEOUT_MS 700
 #define PERMITS_TICK_MS 50
 
@@ -112,7 +115,9 @@
 /* Returns whether no host uses a primary of GROUP, which is closed.  */
 bool permits_recalled (const struct permits *permits, const char *group);
 
-/* Tells that TOKEN is the newest fencing token of the duty in the store.  */
-void permits_note_duty (struct permits *permits, uint64_t token);
+/* Tells that HOST, or none if it is NULL, holds the duty in the store, with
+   TOKEN.  */
+void permits_note_duty (struct permits *permits, const char *host,
+                        uint64_t token);
 
 #endif
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -306,12 +306,28 @@
   return name;
 }
 
+/* Removes the duty of an earlier process of this host, which has ended: other
+   hosts would wait for its lease.  */
+static void
+remove_old_duty (struct roster *roster, const struct roster_key *key)
+{
+  if (roster->leaving)
+    return;
+  log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "old_duty_removed",
+             LOG_S ("holder", key->value), LOG_U ("token", key->created));
+  roster_write_key (roster, NULL, DUTY_KEY, NULL, key->revision, ignore_reply,
+                    NULL);
+}
+
 static void
 duty_changed (struct roster *roster)
 {
   char holder[NAME_BYTES];
   const struct roster_key *key = roster_find_key (roster, DUTY_KEY);
   bool mine = key != NULL && strcmp (key->value, roster->self) == 0;
+  if (!mine && holder_name (key, holder) != NULL
+      && strcmp (holder, roster->host) == 0)
+    remove_old_duty (roster, key);
   suspicions_set_holder (roster->suspicions, holder_name (key, holder));
   if (mine)
     ensure_secret (roster);
@@ -321,7 +337,8 @@
              LOG_U ("mine", mine));
   groups_set_monitoring (roster->groups, mine);
   mirror_set_immediate (roster->mirror, mine);
-  permits_note_duty (roster->permits, key != NULL ? key->created : 0);
+  permits_note_duty (roster->permits, holder_name (key, holder),
+                     key != NULL ? key->created : 0);
   if (key == NULL)
     roster_claim_soon (roster);
   else if (!mine && lease_wanted (roster->duty_lease) && !roster->claiming)
@@ -420,7 +437,9 @@
       drop_key (roster, key);
   }
   if (roster_find_key (roster, DUTY_KEY) == NULL)
-    roster_claim_within (roster, ROSTER_START_JITTER_MS);
+    roster_claim_within (roster, permits_fenced (roster->permits)
+                                     ? ROSTER_START_JITTER_MS
+                                     : ROSTER_URGENT_JITTER_MS);
 }
 
 static void
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -15,9 +15,8 @@
      savoryway/secret                     secret shared by the hosts for
                                           their messages, in hexadecimal
      savoryway/duty                       "HOST INCARNATION" of the holder
-     savoryway/primaries/GROUP            "NUMBER FLOOR CANDIDATE [INSTANCE...]":
-                                          the change of primary ordered last,
-                                          see roster_record
+     savoryway/primaries/GROUP            "NUMBER FLOOR CANDIDATE
+   [INSTANCE...]": the change of primary ordered last, see roster_record
      savoryway/reports/GROUP/HOST         "INSTANCE DOMAIN": HOST, of failure
                                           domain DOMAIN, can't reach INSTANCE
 
@@ -65,8 +64,10 @@
 #define ROSTER_CLAIM_JITTER_MS 200
 /* With more other hosts than this the jitter grows in proportion.  */
 #define ROSTER_CLAIM_JITTER_HOSTS 16
-/* Jitter after a full listing, since all hosts may have started together.  */
+/* Jitter after a full listing, since all hosts may have started together.
+   Shorter where hosts can't use a primary without a holder.  */
 #define ROSTER_START_JITTER_MS 2500
+#define ROSTER_URGENT_JITTER_MS 500
 
 /* How long a host that resigned the duty does not try to acquire it.  */
 #define ROSTER_RESIGN_BACKOFF_MS 4000
