The holder before tells when the permissions of its time have ended

Cause: a new holder of the duty waited 4.5 s before it replaced a primary that was cut off, also where the holder before was alive and knew of it. Change: the answer of the holder before limits that wait to the duration of a permission.

--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -34,8 +34,6 @@
   uint64_t obeys;   /* version of the table; 0: none of this holder */
   clk_ms replied_ms;
   clk_ms vouched_ms; /* when the message was sent that it answered last */
-  clk_ms obeyed_ms;  /* when it first did under the present token, or
-                        CLK_NEVER */
   clk_ms sent_ms;
   clk_ms until_ms; /* its permission ends before that */
   uint64_t call;
@@ -59,10 +57,13 @@
   uint64_t held; /* its token; 0: another host holds the duty */
   uint64_t version;
   clk_ms taken_ms;
-  clk_ms majority_ms;        /* most hosts have answered; or CLK_NEVER */
-  uint64_t noted;            /* the highest token read from the store */
-  char holder[NAME_BYTES];   /* that has it */
-  char previous[NAME_BYTES]; /* that had the one noted before; or empty */
+  bool has_majority;    /* most hosts have answered */
+  uint64_t noted;       /* the highest token read from the store */
+  uint64_t previous;    /* the token noted before; 0: none */
+  uint64_t held_before; /* the token that this host held last */
+  clk_ms inherited_ms;  /* all permissions that this host has not renewed
+                           itself, in its present or last tenure, have ended
+                           then */
   uint64_t hosts_version;
   struct grantee *grantees;
   struct ktimer tick;
@@ -248,6 +249,15 @@
     extend (permits, permit->stamp);
 }
 
+/* Returns the time until all permissions that this host has not renewed itself
+   have ended.  */
+static clk_ms
+left_ms (const struct permits *permits)
+{
+  clk_ms span_ms = permits->inherited_ms - now_ms (permits);
+  return span_ms > 0 ? span_ms : 0;
+}
+
 static void
 on_permit (void *arg, uint64_t call, const peer_message *message)
 {
@@ -261,7 +271,9 @@
       = (peer_permitted){ .token = permits->token,
                           .process = permits->process,
                           .stamp = now_ms (permits),
-                          .table_version = permits->obeys };
+                          .table_version = permits->obeys,
+                          .held_token = permits->held_before,
+                          .inherited_ms = left_ms (permits) };
   hosts_reply (permits->hosts, call, &body);
 }
 
@@ -305,6 +317,21 @@
          || most_answer (permits, now_ms (permits) - PERMITS_VOUCH_MS);
 }
 
+/* Learns from the answer of the holder before when all earlier permissions
+   have ended.  It renews none from now on.  */
+static void
+learn_inherited (struct permits *permits, const peer_permitted *permitted)
+{
+  clk_ms end_ms = PERMITS_SPAN_MS;
+  if (permitted->held_token == 0 || permitted->held_token != permits->previous)
+    return;
+  if (permitted->inherited_ms > end_ms)
+    end_ms = permitted->inherited_ms;
+  end_ms += now_ms (permits) + PERMITS_MARGIN_MS;
+  if (end_ms < permits->inherited_ms)
+    permits->inherited_ms = end_ms;
+}
+
 static void send_permit (struct grantee *grantee);
 
 static void
@@ -328,8 +355,7 @@
   grantee->replied_ms = now_ms (permits);
   grantee->vouched_ms = grantee->sent_ms;
   grantee->obeys = permitted->table_version;
-  if (grantee->obeyed_ms == CLK_NEVER)
-    grantee->obeyed_ms = now_ms (permits);
+  learn_inherited (permits, permitted);
   if (first || grantee->obeys != permits->version)
     send_permit (grantee);
 }
@@ -398,7 +424,6 @@
       grantee->permits = permits;
       grantee->replied_ms = grantee->vouched_ms = CLK_LONG_AGO;
       grantee->sent_ms = grantee->until_ms = CLK_LONG_AGO;
-      grantee->obeyed_ms = CLK_NEVER;
       memcpy (grantee->address.name, host->address.name, NAME_BYTES);
       HASH_ADD_STR (permits->grantees, address.name, grantee);
     }
@@ -453,6 +478,18 @@
   memcpy (group->instance, record->candidate, NAME_BYTES);
 }
 
+/* Sets when all permissions that earlier holders have renewed have ended.  */
+static void
+inherit (struct permits *permits)
+{
+  clk_ms own_ms = now_ms (permits) + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+  if (permits->held_before == 0 || permits->held_before != permits->previous)
+    permits->inherited_ms
+        = now_ms (permits) + ROSTER_OUTAGE_GRACE_MS + PERMITS_SPAN_MS;
+  else if (own_ms > permits->inherited_ms)
+    permits->inherited_ms = own_ms;
+}
+
 /* Returns whether this host holds the duty.  Prepares for it if that is
    new.  */
 static bool
@@ -472,7 +509,9 @@
   permits->held = token;
   permits->version = 1;
   permits->taken_ms = now_ms (permits);
-  permits->majority_ms = CLK_NEVER;
+  permits->has_majority = false;
+  inherit (permits);
+  permits->held_before = token;
   roster_each_record (permits->roster, inherit_record, permits);
   for (group = permits->table; group != NULL; group = group->hh.next)
     group->version = group->closed ? 1 : 0;
@@ -481,28 +520,22 @@
     {
       grantee->obeys = 0;
       grantee->vouched_ms = CLK_LONG_AGO;
-      grantee->obeyed_ms = CLK_NEVER;
     }
   return true;
 }
 
-/* Returns when all permissions that earlier holders have renewed have
-   ended.  */
-static clk_ms
-inherited_end_ms (const struct permits *permits)
-{
-  clk_ms end_ms = permits->taken_ms + ROSTER_OUTAGE_GRACE_MS;
-  const struct grantee *previous;
-  if (permits->majority_ms != CLK_NEVER
-      && permits->majority_ms + PERMITS_VOUCH_MS < end_ms)
-    end_ms = permits->majority_ms + PERMITS_VOUCH_MS;
-  /* Once the holder before knows of this one, it renews nothing.  */
-  HASH_FIND_STR (permits->grantees, permits->previous, previous);
-  if (previous != NULL && previous->obeyed_ms < end_ms)
-    end_ms = previous->obeyed_ms;
-  if (strcmp (permits->previous, hosts_own_name (permits->hosts)) == 0)
-    end_ms = permits->taken_ms;
-  return end_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+/* Limits the time until all earlier permissions have ended: an earlier holder
+   renews none once most hosts know of this one.  */
+static void
+check_majority (struct permits *permits)
+{
+  clk_ms end_ms = now_ms (permits) + PERMITS_VOUCH_MS + PERMITS_SPAN_MS
+                  + PERMITS_MARGIN_MS;
+  if (permits->has_majority || !most_answer (permits, permits->taken_ms))
+    return;
+  permits->has_majority = true;
+  if (end_ms < permits->inherited_ms)
+    permits->inherited_ms = end_ms;
 }
 
 static void
@@ -538,9 +571,7 @@
   if (check_duty (permits))
     {
       update_grantees (permits);
-      if (permits->majority_ms == CLK_NEVER
-          && most_answer (permits, permits->taken_ms))
-        permits->majority_ms = now_ms (permits);
+      check_majority (permits);
       if (may_renew (permits))
         extend (permits, now_ms (permits));
       renew_due (permits);
@@ -557,8 +588,7 @@
     return;
   if (host != NULL && token > permits->noted)
     {
-      memcpy (permits->previous, permits->holder, NAME_BYTES);
-      text_copy (permits->holder, sizeof permits->holder, host);
+      permits->previous = permits->noted;
       permits->noted = token;
     }
   note_token (permits, token);
@@ -629,7 +659,7 @@
     return true;
   found = find_group (permits, group);
   if (found == NULL || !found->closed || permits->held == 0
-      || now_ms (permits) < inherited_end_ms (permits))
+      || now_ms (permits) < permits->inherited_ms)
     return false;
   for (grantee = permits->grantees; grantee != NULL;
        grantee = grantee->hh.next)
