The duty of a dead process of the same host is removed at once

Cause: after a restart of all hosts nobody held the duty until the lease of the dead holder had expired, and hosts read that up to 1.5 s later.

Change: a host that finds the duty held by an earlier process of its own removes it and claims it; hosts without a renewal watch the store with a short delay.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -18,6 +18,7 @@
   size_t subscriber_count;
   struct mirror_events subscribers[MIRROR_SUBSCRIBERS];
   bool immediate; /* watch without delay, and not at a relay */
+  bool eager;     /* watch with a short delay */
   bool listing;
   char *after;       /* last key of the previous page; NULL: first page */
   uint64_t revision; /* changes up to here are applied */
@@ -229,6 +230,8 @@
 static clk_ms
 watch_delay_ms (const struct mirror *mirror)
 {
+  if (mirror->eager)
+    return MIRROR_EAGER_WATCH_DELAY_MS;
   return relay_serves (mirror->relay) ? MIRROR_RELAY_WATCH_DELAY_MS
                                       : MIRROR_WATCH_DELAY_MS;
 }
@@ -557,6 +560,17 @@
     kernel_timer_set (kernel, &mirror->next_call_timer, kernel_now (kernel));
 }
 
+void
+mirror_set_eager (struct mirror *mirror, bool eager)
+{
+  struct kernel *kernel = mirror->base.kernel;
+  clk_ms due_ms = kernel_now (kernel) + MIRROR_EAGER_WATCH_DELAY_MS;
+  bool waits = mirror->next_call_timer.slot != 0 && mirror->failures == 0;
+  if (eager && !mirror->eager && waits)
+    kernel_timer_set (kernel, &mirror->next_call_timer, due_ms);
+  mirror->eager = eager;
+}
+
 uint64_t
 mirror_revision (const struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -39,6 +39,8 @@
 /* Shorter for a relay, since other hosts depend on it; a failure domain has
    few relays.  */
 #define MIRROR_RELAY_WATCH_DELAY_MS 400
+/* Upper limit while this host waits for a change.  */
+#define MIRROR_EAGER_WATCH_DELAY_MS 200
 
 /* Within this time of a change a pending watch has delivered it.  */
 #define MIRROR_DELIVERY_MS 500
@@ -92,6 +94,9 @@
    store itself instead of following a relay.  */
 void mirror_set_immediate (struct mirror *mirror, bool immediate);
 
+/* Sets whether this host waits for a change, and asks for changes sooner.  */
+void mirror_set_eager (struct mirror *mirror, bool eager);
+
 /* Notes a write of this host at REVISION.  A watch that does not deliver it
    within MIRROR_OWN_WRITE_WAIT_MS is considered lost, and is restarted.  */
 void mirror_expect (struct mirror *mirror, uint64_t revision);
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -577,6 +577,9 @@
       renew_due (permits);
     }
   log_lapse (permits);
+  roster_seek_holder (permits->roster,
+                      now_ms (permits) - permits->end_ms
+                          >= PERMITS_SEEK_MS - PERMITS_SPAN_MS);
   kernel_timer_set (permits->base.kernel, &permits->tick,
                     now_ms (permits) + PERMITS_TICK_MS);
 }
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -52,6 +52,10 @@
    this long: the store may have lost it.  */
 #define PERMITS_FORGET_MS 10000
 
+/* A host whose permission has not been renewed for this long looks for another
+   holder of the duty.  */
+#define PERMITS_SEEK_MS 1300
+
 /* Interval of the messages to a host that has not replied yet.  */
 #define PERMITS_GREET_MS 150
 
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -246,6 +246,12 @@
   update_hosts (roster);
 }
 
+void
+roster_seek_holder (struct roster *roster, bool seek)
+{
+  mirror_set_eager (roster->mirror, seek);
+}
+
 void
 roster_leave (struct roster *roster)
 {
@@ -306,6 +312,18 @@
   return name;
 }
 
+static void
+on_old_duty_removed (void *arg, const struct platform_reply *reply)
+{
+  struct roster *roster = arg;
+  roster_note_reply (roster, reply);
+  if (reply->status != PLATFORM_OK)
+    return;
+  roster->removed_duty = true;
+  mirror_expect (roster->mirror, reply->index);
+  mirror_set_immediate (roster->mirror, true);
+}
+
 /* Removes the duty of an earlier process of this host, which has ended: other
    hosts would wait for its lease.  */
 static void
@@ -315,8 +333,8 @@
     return;
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "old_duty_removed",
              LOG_S ("holder", key->value), LOG_U ("token", key->created));
-  roster_write_key (roster, NULL, DUTY_KEY, NULL, key->revision, ignore_reply,
-                    NULL);
+  roster_write_key (roster, NULL, DUTY_KEY, NULL, key->revision,
+                    on_old_duty_removed, roster);
 }
 
 static void
@@ -335,11 +353,14 @@
              LOG_S ("holder", key != NULL ? key->value : NULL),
              LOG_U ("token", key != NULL ? key->created : 0),
              LOG_U ("mine", mine));
+  roster->removed_duty &= key == NULL;
   groups_set_monitoring (roster->groups, mine);
   mirror_set_immediate (roster->mirror, mine);
   permits_note_duty (roster->permits, holder_name (key, holder),
                      key != NULL ? key->created : 0);
-  if (key == NULL)
+  if (key == NULL && roster->removed_duty)
+    roster_claim_within (roster, 1);
+  else if (key == NULL)
     roster_claim_soon (roster);
   else if (!mine && lease_wanted (roster->duty_lease) && !roster->claiming)
     lease_release (roster->duty_lease);
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -139,6 +139,10 @@
 bool roster_find_record (const struct roster *roster, const char *group,
                          struct roster_record *record);
 
+/* Sets whether this host waits for another holder of the duty, and should
+   notice soon that there is none.  */
+void roster_seek_holder (struct roster *roster, bool seek);
+
 /* Releases the duty, if this host holds it; WHY is logged.  */
 void roster_resign_duty (struct roster *roster, const char *why);
 
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -87,6 +87,7 @@
   struct lease *host_lease;
   struct lease *duty_lease;
   bool claiming;           /* a write of the duty key is in flight */
+  bool removed_duty;       /* of an earlier process of this host */
   clk_ms resign_until_ms;  /* no claim of the duty before this */
   uint64_t resigned_token; /* token of the duty resigned last */
   bool leaving;
