Orders that have taken effect are recorded as settled

Cause: a holder that had just started closed the group of each recorded order until it had reached the primary itself; after a power failure the instance counted dead connections and refused it for 2 s, and the order was given again.

Change: the record is settled once the group was opened; a position of the new term also tells. A holder that takes its duty up again inherits nothing.

--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -20,6 +20,7 @@
   uint64_t number;           /* of the change to it */
   bool closed;
   uint64_t version; /* of the table that closed it; for the holder */
+  uint64_t waited;  /* the version whose wait was logged */
   UT_hash_handle hh;
 };
 
@@ -473,7 +474,7 @@
   struct permit_group *group = ensure_group (permits, record->group);
   if (group == NULL || (group->number >= record->number && !group->closed))
     return;
-  group->closed = true;
+  group->closed = record->floor != 0;
   group->number = record->number;
   memcpy (group->instance, record->candidate, NAME_BYTES);
 }
@@ -505,6 +506,13 @@
     }
   if (permits->held == token)
     return true;
+  /* The same duty again, after a while without a valid lease: no other host
+     has held it meanwhile.  */
+  if (permits->held_before == token)
+    {
+      permits->held = token;
+      return true;
+    }
   note_token (permits, token);
   permits->held = token;
   permits->version = 1;
@@ -653,23 +661,48 @@
   publish (permits, group);
 }
 
+/* Returns the host with the longest permission to use the old primary of
+   GROUP, or NULL.  */
+static const struct grantee *
+last_user (const struct permits *permits, const struct permit_group *group)
+{
+  const struct grantee *grantee, *last = NULL;
+  for (grantee = permits->grantees; grantee != NULL;
+       grantee = grantee->hh.next)
+    if (grantee->until_ms > now_ms (permits) && grantee->obeys < group->version
+        && (last == NULL || grantee->until_ms > last->until_ms))
+      last = grantee;
+  return last;
+}
+
+static void
+log_wait (const struct permits *permits, struct permit_group *group,
+          const struct grantee *last)
+{
+  if (group->waited == group->version)
+    return;
+  group->waited = group->version;
+  log_event (
+      kernel_log (permits->base.kernel), LOG_NOTICE, "recall_waits",
+      LOG_S ("group", group->name), LOG_I ("inherited_ms", left_ms (permits)),
+      LOG_S ("host", last != NULL ? last->address.name : NULL),
+      LOG_I ("host_ms", last != NULL ? last->until_ms - now_ms (permits) : 0));
+}
+
 bool
 permits_recalled (const struct permits *permits, const char *group)
 {
-  const struct permit_group *found;
-  const struct grantee *grantee;
+  struct permit_group *found;
   if (permits->fenced || MUTANT (skip_recall))
     return true;
   found = find_group (permits, group);
-  if (found == NULL || !found->closed || permits->held == 0
-      || now_ms (permits) < permits->inherited_ms)
+  if (found == NULL || !found->closed || permits->held == 0)
     return false;
-  for (grantee = permits->grantees; grantee != NULL;
-       grantee = grantee->hh.next)
-    if (grantee->until_ms > now_ms (permits)
-        && grantee->obeys < found->version)
-      return false;
-  return true;
+  const struct grantee *last = last_user (permits, found);
+  if (last == NULL && left_ms (permits) == 0)
+    return true;
+  log_wait (permits, found, last);
+  return false;
 }
 
 static void
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -641,11 +641,30 @@
     return true;
   if (!backend_usable (leader) || !group_leader_proven (group))
     return false;
+  change->confirmed |= backend_position (leader).term >= change->floor;
   if (!change->confirmed)
     confirm (change, leader);
   return change->confirmed;
 }
 
+static void
+ignore_result (void *arg, bool held)
+{
+  (void)arg; /* a later holder of the duty checks again */
+  (void)held;
+}
+
+/* Records that the order has taken effect and no other can any more.  */
+static void
+settle_record (struct change *change)
+{
+  struct roster_record record = { .number = change->number };
+  text_copy (record.group, sizeof record.group, change->group);
+  text_copy (record.candidate, sizeof record.candidate, change->chosen);
+  roster_record_order (change->promoter->roster, &record, ignore_result,
+                       change);
+}
+
 /* Lets the hosts use the primary again, if only one instance can be it now.
    Returns whether they may.  */
 static bool
@@ -658,8 +677,10 @@
       || (change->ordered && !has_new_primary (change, group))
       || floating_other (change, backend_entry (leader)->id) != NULL)
     return false;
-  change->ordered = false;
   permits_open (permits, change->group, backend_entry (leader)->id);
+  if (change->ordered)
+    settle_record (change);
+  change->ordered = false;
   return true;
 }
 
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -117,7 +117,7 @@
 {
   char group[NAME_BYTES];
   uint64_t number;
-  uint64_t floor; /* lowest possible term of the new primary */
+  uint64_t floor; /* lowest possible term of the new primary; 0: it leads */
   char candidate[NAME_BYTES];
   size_t floating_count;
   char floating[ROSTER_FLOATING][NAME_BYTES];
