Unit tests of the permissions; an instance's own term tells that its log is old

The model's positions keep the old term until the first commit, so that the test of an instance that missed a term sets the term of the instance too. A row of the table is set once the order is recorded: an order that was given up before left a wrong one on its host.

--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -33,6 +33,7 @@
   uint64_t process; /* of its last reply; 0: none */
   clk_ms stamp;     /* likewise, by its clock */
   uint64_t obeys;   /* version of the table; 0: none of this holder */
+  uint64_t told;    /* the version sent last */
   clk_ms replied_ms;
   clk_ms vouched_ms; /* when the message was sent that it answered last */
   clk_ms sent_ms;
@@ -357,7 +358,7 @@
   grantee->vouched_ms = grantee->sent_ms;
   grantee->obeys = permitted->table_version;
   learn_inherited (permits, permitted);
-  if (first || grantee->obeys != permits->version)
+  if (first || grantee->told != permits->version)
     send_permit (grantee);
 }
 
@@ -393,6 +394,7 @@
                            .table_version = permits->version };
   if (grantee->obeys != permits->version)
     fill_table (permits, permit, rows);
+  grantee->told = permits->version;
   /* Its permission counts from its last reply, which it sent before that was
      received here.  */
   clk_ms until_ms = grantee->replied_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
@@ -712,7 +714,8 @@
   permits->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
   permits->roster = (struct roster *)kernel_find (module->kernel, "roster");
   permits->groups = (struct groups *)kernel_find (module->kernel, "groups");
-  permits->process = rng_u64 (kernel_rng (module->kernel)) | 1;
+  if (!permits->fenced)
+    permits->process = rng_u64 (kernel_rng (module->kernel)) | 1;
   permits->tick = (struct ktimer){ .fire = on_tick, .arg = permits };
   hosts_handle (permits->hosts, PEER_KIND_PERMIT, on_permit, permits);
   if (!permits->fenced)
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -33,10 +33,10 @@
 
 /* Duration of a permission.  Longer than it takes to replace a dead holder of
    the duty, so that primaries stay in use meanwhile.  */
-#define PERMITS_SPAN_MS 3000
+#define PERMITS_SPAN_MS 2500
 
 /* Interval of renewals, longer with each host.  */
-#define PERMITS_RENEW_MS 500
+#define PERMITS_RENEW_MS 400
 #define PERMITS_RENEW_PER_HOST_MS 2
 #define PERMITS_RENEW_LIMIT_MS 1000
 
@@ -54,7 +54,7 @@
 
 /* A host whose permission has not been renewed for this long looks for another
    holder of the duty.  */
-#define PERMITS_SEEK_MS 1300
+#define PERMITS_SEEK_MS 1100
 
 /* Interval of the messages to a host that has not replied yet.  */
 #define PERMITS_GREET_MS 150
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -55,6 +55,7 @@
   clk_ms partly_cut_since_ms;  /* for two thirds of the hosts, or CLK_NEVER */
   uint64_t token;
   bool ordered;        /* recorded, and the new primary not seen yet */
+  uint64_t led_term;   /* of the last new primary; a lower bound */
   bool confirmed;      /* CHOSEN leads, and not by an earlier order */
   uint64_t floor;      /* lowest possible term of the new primary */
   clk_ms accepted_ms;  /* when the order was accepted, or CLK_NEVER */
@@ -206,6 +207,8 @@
       return;
     }
   change->token = token;
+  permits_expect (promoter->permits, change->group, change->chosen,
+                  change->number);
   set_stage (change, CHANGE_ORDERED);
   log_change (change, "promotion_ordered", change->chosen);
   metrics_increment (kernel_metrics (promoter->base.kernel),
@@ -245,7 +248,6 @@
   change->ordered = true;
   change->confirmed = false;
   change->accepted_ms = CLK_NEVER;
-  permits_expect (promoter->permits, change->group, id, change->number);
   record_order (change);
 }
 
@@ -305,15 +307,17 @@
   return answered;
 }
 
-/* Returns whether promoting an instance with the log of TERM would restore
-   commits that a later term has discarded.  After PROMOTER_OLD_TERM_MS without
+/* Returns whether promoting an instance of STATUS would restore commits that a
+   later term has discarded.  After PROMOTER_OLD_TERM_MS without
    a better instance it may be promoted.  */
 static bool
 has_old_term (const struct change *change, const struct group *group,
-              uint64_t term)
+              const struct instance_status *status)
 {
-  return !change->hand_over
-         && term < samples_newest (group_samples (group)).term
+  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t term = status->term > status->received.term ? status->term
+                                                       : status->received.term;
+  return !change->hand_over && (term < newest || term < change->led_term)
          && now_ms (change) - change->first_attempt_ms < PROMOTER_OLD_TERM_MS;
 }
 
@@ -349,7 +353,7 @@
         order_promotion (change, change->old); /* only it has all commits */
       return;
     }
-  if (has_old_term (change, group, best->status.received.term))
+  if (has_old_term (change, group, &best->status))
     {
       abort_change (change, "no instance has the log of the newest term",
                     PROMOTER_RETRY_MS);
@@ -765,6 +769,8 @@
           log_change (change, "promotion_done", change->chosen);
           change->first_attempt_ms = CLK_NEVER;
           change->next_ms = now_ms (change);
+          if (change->floor > change->led_term)
+            change->led_term = change->floor;
           set_stage (change, CHANGE_NONE);
           try_to_open (change, group);
         }
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -531,6 +531,7 @@
   fleet_instance (fleet, 0)->unreachable = false;
   fleet_instance (fleet, 0)->received = old;
   fleet_instance (fleet, 0)->applied = old;
+  fleet_instance (fleet, 0)->term = old.term;
   for (size_t i = 1; i < FLEET_INSTANCES; i++)
     fleet_instance (fleet, i)->unreachable = true;
   fleet_run (fleet, 5000);
