--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -277,6 +277,7 @@
 	u_quad_t token;
 	u_quad_t process;
 	quad_t stamp;
+	quad_t span_ms;
 	u_quad_t table_version;
 	bool_t has_groups;
 	struct {
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -238,7 +238,7 @@
 };
 
 /* Sent by the holder of the promotion duty: the receiver may use primaries for
-   a fixed time from STAMP, which is the time on its own clock that it sent
+   SPAN_MS from STAMP, which is the time on its own clock that it sent
    with its last reply.  PROCESS, of that reply too, tells whether the receiver
    has been restarted since; 0: no reply yet.  GROUPS is the table of the
    holder, or empty if the receiver has it.  */
@@ -246,6 +246,7 @@
   unsigned hyper token; /* fencing token of the holder */
   unsigned hyper process;
   hyper stamp;
+  hyper span_ms;
   unsigned hyper table_version;
   bool has_groups;
   peer_permit_group groups<PEER_BATCH_LIMIT>;
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -567,6 +567,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->stamp))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->span_ms))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_groups))
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -54,7 +54,8 @@
   uint64_t token;   /* the highest that is known */
   uint64_t obeys;   /* version of the table of TOKEN; 0: none */
   clk_ms end_ms;
-  bool lapsed; /* the end was logged */
+  clk_ms extended_ms; /* when it was renewed last */
+  bool lapsed;        /* the end was logged */
   /* Of the holder.  */
   uint64_t held; /* its token; 0: another host holds the duty */
   uint64_t version;
@@ -188,9 +189,9 @@
 
 /* Extends the permission of this host.  */
 static void
-extend (struct permits *permits, clk_ms from_ms)
+extend (struct permits *permits, clk_ms end_ms)
 {
-  clk_ms end_ms = from_ms + PERMITS_SPAN_MS;
+  permits->extended_ms = now_ms (permits);
   if (end_ms <= permits->end_ms)
     return;
   if (permits->lapsed || permits->end_ms == CLK_LONG_AGO)
@@ -247,8 +248,9 @@
     apply_table (permits, permit);
   if (permit->process == permits->process && permit->table_version != 0
       && permit->table_version == permits->obeys
-      && permit->stamp <= now_ms (permits))
-    extend (permits, permit->stamp);
+      && permit->stamp <= now_ms (permits) && permit->span_ms > 0
+      && permit->span_ms <= PERMITS_SPAN_LIMIT_MS)
+    extend (permits, permit->stamp + permit->span_ms);
 }
 
 /* Returns the time until all permissions that this host has not renewed itself
@@ -290,6 +292,15 @@
   return span_ms < PERMITS_RENEW_LIMIT_MS ? span_ms : PERMITS_RENEW_LIMIT_MS;
 }
 
+static clk_ms
+span_ms (const struct permits *permits)
+{
+  clk_ms span_ms
+      = PERMITS_SPAN_MS
+        + PERMITS_SPAN_PER_HOST_MS * (clk_ms)HASH_COUNT (permits->grantees);
+  return span_ms < PERMITS_SPAN_LIMIT_MS ? span_ms : PERMITS_SPAN_LIMIT_MS;
+}
+
 /* Returns whether two thirds of the registered hosts have answered a message
    that was sent at SINCE_MS or later.  */
 static bool
@@ -324,7 +335,7 @@
 static void
 learn_inherited (struct permits *permits, const peer_permitted *permitted)
 {
-  clk_ms end_ms = PERMITS_SPAN_MS;
+  clk_ms end_ms = PERMITS_SPAN_LIMIT_MS;
   if (permitted->held_token == 0 || permitted->held_token != permits->previous)
     return;
   if (permitted->inherited_ms > end_ms)
@@ -391,13 +402,14 @@
   *permit = (peer_permit){ .token = permits->held,
                            .process = grantee->process,
                            .stamp = grantee->stamp,
+                           .span_ms = span_ms (permits),
                            .table_version = permits->version };
   if (grantee->obeys != permits->version)
     fill_table (permits, permit, rows);
   grantee->told = permits->version;
   /* Its permission counts from its last reply, which it sent before that was
      received here.  */
-  clk_ms until_ms = grantee->replied_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+  clk_ms until_ms = grantee->replied_ms + permit->span_ms + PERMITS_MARGIN_MS;
   if (grantee->process != 0 && until_ms > grantee->until_ms)
     grantee->until_ms = until_ms;
   hosts_cancel (permits->hosts, grantee->call);
@@ -485,10 +497,10 @@
 static void
 inherit (struct permits *permits)
 {
-  clk_ms own_ms = now_ms (permits) + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+  clk_ms own_ms = now_ms (permits) + PERMITS_SPAN_LIMIT_MS + PERMITS_MARGIN_MS;
   if (permits->held_before == 0 || permits->held_before != permits->previous)
     permits->inherited_ms
-        = now_ms (permits) + ROSTER_OUTAGE_GRACE_MS + PERMITS_SPAN_MS;
+        = now_ms (permits) + ROSTER_OUTAGE_GRACE_MS + PERMITS_SPAN_LIMIT_MS;
   else if (own_ms > permits->inherited_ms)
     permits->inherited_ms = own_ms;
 }
@@ -539,7 +551,7 @@
 static void
 check_majority (struct permits *permits)
 {
-  clk_ms end_ms = now_ms (permits) + PERMITS_VOUCH_MS + PERMITS_SPAN_MS
+  clk_ms end_ms = now_ms (permits) + PERMITS_VOUCH_MS + PERMITS_SPAN_LIMIT_MS
                   + PERMITS_MARGIN_MS;
   if (permits->has_majority || !most_answer (permits, permits->taken_ms))
     return;
@@ -583,13 +595,12 @@
       update_grantees (permits);
       check_majority (permits);
       if (may_renew (permits))
-        extend (permits, now_ms (permits));
+        extend (permits, now_ms (permits) + span_ms (permits));
       renew_due (permits);
     }
   log_lapse (permits);
-  roster_seek_holder (permits->roster,
-                      now_ms (permits) - permits->end_ms
-                          >= PERMITS_SEEK_MS - PERMITS_SPAN_MS);
+  roster_seek_holder (permits->roster, now_ms (permits) - permits->extended_ms
+                                           >= PERMITS_SEEK_MS);
   kernel_timer_set (permits->base.kernel, &permits->tick,
                     now_ms (permits) + PERMITS_TICK_MS);
 }
@@ -752,7 +763,7 @@
   permits->base.ops = &permits_ops;
   permits->base.name = "permits";
   permits->fenced = fenced;
-  permits->end_ms = CLK_LONG_AGO;
+  permits->end_ms = permits->extended_ms = CLK_LONG_AGO;
   return permits;
 }
 
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -31,9 +31,12 @@
 
 #include "kernel/kernel.h"
 
-/* Duration of a permission.  Longer than it takes to replace a dead holder of
-   the duty, so that primaries stay in use meanwhile.  */
+/* Duration of a permission, longer with each host, and its limit.  Longer than
+   it takes to replace a dead holder of the duty, so that primaries stay in use
+   meanwhile.  */
 #define PERMITS_SPAN_MS 2500
+#define PERMITS_SPAN_PER_HOST_MS 10
+#define PERMITS_SPAN_LIMIT_MS 4000
 
 /* Interval of renewals, longer with each host.  */
 #define PERMITS_RENEW_MS 400
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -69,6 +69,11 @@
 #define ROSTER_START_JITTER_MS 2500
 #define ROSTER_URGENT_JITTER_MS 500
 
+/* Delay of a host that others should come before, and the number of hosts with
+   wider links that count as enough.  */
+#define ROSTER_COURTESY_MS 400
+#define ROSTER_WIDE_HOSTS 8
+
 /* How long a host that resigned the duty does not try to acquire it.  */
 #define ROSTER_RESIGN_BACKOFF_MS 4000
 
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -36,6 +36,28 @@
          && is_store_outage (roster);
 }
 
+/* Returns for how long this host leaves the duty to hosts that can do it
+   better: those with a wider link in a large fleet, as the holder sends
+   messages to all hosts, and those that reach all primaries.  */
+static clk_ms
+courtesy_ms (const struct roster *roster)
+{
+  size_t count, wider = 0;
+  const struct other_host *others = hosts_list (roster->hosts, &count);
+  const struct roster_report_state *report;
+  clk_ms span_ms = 0;
+  if (permits_fenced (roster->permits))
+    return 0;
+  for (size_t i = 0; i < count; i++)
+    wider += others[i].capacity > roster->capacity;
+  if (wider >= ROSTER_WIDE_HOSTS)
+    span_ms += ROSTER_COURTESY_MS;
+  for (report = roster->reports; report != NULL; report = report->hh.next)
+    if (report->wanted[0] != '\0')
+      return span_ms + ROSTER_COURTESY_MS;
+  return span_ms;
+}
+
 void
 roster_claim_within (struct roster *roster, clk_ms spread_ms)
 {
@@ -44,7 +66,8 @@
     return;
   clk_ms due_ms
       = kernel_now (kernel)
-        + (clk_ms)rng_below (kernel_rng (kernel), (uint64_t)spread_ms);
+        + (clk_ms)rng_below (kernel_rng (kernel), (uint64_t)spread_ms)
+        + (roster->removed_duty ? 0 : courtesy_ms (roster));
   if (due_ms < roster->resign_until_ms)
     due_ms = roster->resign_until_ms;
   kernel_timer_set (kernel, &roster->claim_timer, due_ms);
