A holder that most hosts do not answer leaves the duty to another

Cause: in a partition between hosts the holder was on the smaller side, and 72 of 117 hosts were without a permission for 4 s.

Change: it resigns; and it resigns later, where permissions are needed, for a primary that it alone can't reach.

--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -301,19 +301,30 @@
   return span_ms < PERMITS_SPAN_LIMIT_MS ? span_ms : PERMITS_SPAN_LIMIT_MS;
 }
 
-/* Returns whether two thirds of the registered hosts have answered a message
-   that was sent at SINCE_MS or later.  */
-static bool
-most_answer (const struct permits *permits, clk_ms since_ms)
+/* Counts the registered hosts, and sets ANSWERED to the number of those that
+   have answered a message that was sent at SINCE_MS or later.  */
+static size_t
+count_answers (const struct permits *permits, clk_ms since_ms,
+               size_t *answered)
 {
   const struct grantee *grantee;
-  size_t listed = 0, answered = 0;
+  size_t listed = 0;
+  *answered = 0;
   for (grantee = permits->grantees; grantee != NULL;
        grantee = grantee->hh.next)
     {
       listed += grantee->listed;
-      answered += grantee->listed && grantee->vouched_ms >= since_ms;
+      *answered += grantee->listed && grantee->vouched_ms >= since_ms;
     }
+  return listed;
+}
+
+/* Returns whether two thirds of the registered hosts have answered a message
+   that was sent at SINCE_MS or later.  */
+static bool
+most_answer (const struct permits *permits, clk_ms since_ms)
+{
+  size_t answered, listed = count_answers (permits, since_ms, &answered);
   return 3 * answered >= 2 * listed;
 }
 
@@ -573,6 +584,17 @@
       send_permit (grantee);
 }
 
+/* Leaves the duty to another host if this one reaches too few.  */
+static void
+check_reach (struct permits *permits)
+{
+  clk_ms since_ms = now_ms (permits) - PERMITS_MINORITY_MS;
+  size_t answered, listed = count_answers (permits, since_ms, &answered);
+  if (permits->taken_ms < since_ms && 2 * answered < listed
+      && roster_duty_leased (permits->roster))
+    roster_resign_duty (permits->roster, "most hosts do not answer");
+}
+
 static void
 log_lapse (struct permits *permits)
 {
@@ -597,6 +619,7 @@
       if (may_renew (permits))
         extend (permits, now_ms (permits) + span_ms (permits));
       renew_due (permits);
+      check_reach (permits);
     }
   log_lapse (permits);
   roster_seek_holder (permits->roster, now_ms (permits) - permits->extended_ms
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -51,6 +51,10 @@
    message of this age.  */
 #define PERMITS_VOUCH_MS 1500
 
+/* A holder that fewer than half of the hosts have answered for this long
+   leaves the duty to a host that reaches more.  */
+#define PERMITS_MINORITY_MS 2000
+
 /* Hosts without a registration get renewals until they have not answered for
    this long: the store may have lost it.  */
 #define PERMITS_FORGET_MS 10000
--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -582,7 +582,10 @@
         start_change (change, leader, false, "the primary is unreachable");
       return;
     }
-  if (now_ms (change) - change->unreachable_since_ms >= PROMOTER_RESIGN_MS)
+  clk_ms limit_ms = permits_fenced (change->promoter->permits)
+                        ? PROMOTER_RESIGN_MS
+                        : PROMOTER_UNFENCED_RESIGN_MS;
+  if (now_ms (change) - change->unreachable_since_ms >= limit_ms)
     {
       change->unreachable_since_ms = CLK_NEVER;
       roster_resign_duty (
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -58,6 +58,8 @@
 /* The holder resigns the duty if for this long it can't reach a primary that
    other failure domains reach.  */
 #define PROMOTER_RESIGN_MS 900
+/* The same where hosts need the holder to use any primary.  */
+#define PROMOTER_UNFENCED_RESIGN_MS 4000
 
 /* A primary that two thirds of the hosts can't reach for this long is handed
    over.  */
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -2,6 +2,7 @@
 
 #include "proxy/roster_impl.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,6 +37,25 @@
          && is_store_outage (roster);
 }
 
+/* Returns whether this host can't reach a primary that other failure domains
+   reach.  */
+static bool
+reports_alone (const struct roster *roster)
+{
+  const struct roster_report_state *report;
+  for (report = roster->reports; report != NULL; report = report->hh.next)
+    {
+      char instance[NAME_BYTES];
+      if (sscanf (report->wanted, "%63s", instance) != 1)
+        continue;
+      struct roster_report_count counts
+          = roster_count_reports (roster, report->group, instance);
+      if (2 * counts.domains_reporting <= counts.domains)
+        return true;
+    }
+  return false;
+}
+
 /* Returns for how long this host leaves the duty to hosts that can do it
    better: those with a wider link in a large fleet, as the holder sends
    messages to all hosts, and those that reach all primaries.  */
@@ -44,7 +64,6 @@
 {
   size_t count, wider = 0;
   const struct other_host *others = hosts_list (roster->hosts, &count);
-  const struct roster_report_state *report;
   clk_ms span_ms = 0;
   if (permits_fenced (roster->permits))
     return 0;
@@ -52,10 +71,7 @@
     wider += others[i].capacity > roster->capacity;
   if (wider >= ROSTER_WIDE_HOSTS)
     span_ms += ROSTER_COURTESY_MS;
-  for (report = roster->reports; report != NULL; report = report->hh.next)
-    if (report->wanted[0] != '\0')
-      return span_ms + ROSTER_COURTESY_MS;
-  return span_ms;
+  return span_ms + (reports_alone (roster) ? ROSTER_COURTESY_MS : 0);
 }
 
 void
