The holder before also tells how long its permissions last

Cause: the duration had begun to depend on the size of the fleet, and a new holder had to count with the longest one. Change: the answer of the holder before has it.

--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -294,6 +294,7 @@
 	u_quad_t table_version;
 	u_quad_t held_token;
 	quad_t inherited_ms;
+	quad_t span_ms;
 };
 typedef struct peer_permitted peer_permitted;
 
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -258,10 +258,12 @@
   unsigned hyper process;
   hyper stamp;
   unsigned hyper table_version; /* that it obeys; 0: none of TOKEN */
-  /* If the receiver held the duty before: its token then, and when the
-     permissions that it had not renewed itself have ended.  */
+  /* If the receiver held the duty before: its token then, the time until all
+     permissions that it had not renewed itself have ended, and how long those
+     last that it had.  */
   unsigned hyper held_token;
   hyper inherited_ms;
+  hyper span_ms;
 };
 
 enum peer_kind {
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -596,6 +596,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->inherited_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->span_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -253,6 +253,16 @@
     extend (permits, permit->stamp + permit->span_ms);
 }
 
+/* Returns the duration of the permissions that this host renews.  */
+static clk_ms
+span_ms (const struct permits *permits)
+{
+  clk_ms span_ms
+      = PERMITS_SPAN_MS
+        + PERMITS_SPAN_PER_HOST_MS * (clk_ms)HASH_COUNT (permits->grantees);
+  return span_ms < PERMITS_SPAN_LIMIT_MS ? span_ms : PERMITS_SPAN_LIMIT_MS;
+}
+
 /* Returns the time until all permissions that this host has not renewed itself
    have ended.  */
 static clk_ms
@@ -277,7 +287,8 @@
                           .stamp = now_ms (permits),
                           .table_version = permits->obeys,
                           .held_token = permits->held_before,
-                          .inherited_ms = left_ms (permits) };
+                          .inherited_ms = left_ms (permits),
+                          .span_ms = span_ms (permits) };
   hosts_reply (permits->hosts, call, &body);
 }
 
@@ -292,15 +303,6 @@
   return span_ms < PERMITS_RENEW_LIMIT_MS ? span_ms : PERMITS_RENEW_LIMIT_MS;
 }
 
-static clk_ms
-span_ms (const struct permits *permits)
-{
-  clk_ms span_ms
-      = PERMITS_SPAN_MS
-        + PERMITS_SPAN_PER_HOST_MS * (clk_ms)HASH_COUNT (permits->grantees);
-  return span_ms < PERMITS_SPAN_LIMIT_MS ? span_ms : PERMITS_SPAN_LIMIT_MS;
-}
-
 /* Counts the registered hosts, and sets ANSWERED to the number of those that
    have answered a message that was sent at SINCE_MS or later.  */
 static size_t
@@ -346,7 +348,7 @@
 static void
 learn_inherited (struct permits *permits, const peer_permitted *permitted)
 {
-  clk_ms end_ms = PERMITS_SPAN_LIMIT_MS;
+  clk_ms end_ms = permitted->span_ms;
   if (permitted->held_token == 0 || permitted->held_token != permits->previous)
     return;
   if (permitted->inherited_ms > end_ms)
