Permissions last equally long on all hosts; a holder without a lease asks for answers

And with a shorter time for which answers count, the holder could lose its hosts' answers between the end of its lease and the reports that the store is down, as it sent nothing meanwhile.

Change: one duration, 2.8 s. A holder without a valid lease goes on to ask the hosts for answers, without renewing; idle hosts check less often.

--- a/src/port/peer.h
+++ b/src/port/peer.h
@@ -277,7 +277,6 @@
 	u_quad_t token;
 	u_quad_t process;
 	quad_t stamp;
-	quad_t span_ms;
 	u_quad_t table_version;
 	bool_t has_groups;
 	struct {
@@ -294,7 +293,6 @@
 	u_quad_t table_version;
 	u_quad_t held_token;
 	quad_t inherited_ms;
-	quad_t span_ms;
 };
 typedef struct peer_permitted peer_permitted;
 
--- a/src/port/peer.x
+++ b/src/port/peer.x
@@ -238,7 +238,7 @@
 };
 
 /* Sent by the holder of the promotion duty: the receiver may use primaries for
-   SPAN_MS from STAMP, which is the time on its own clock that it sent
+   a fixed time from STAMP, which is the time on its own clock that it sent
    with its last reply.  PROCESS, of that reply too, tells whether the receiver
    has been restarted since; 0: no reply yet.  GROUPS is the table of the
    holder, or empty if the receiver has it.  */
@@ -246,7 +246,6 @@
   unsigned hyper token; /* fencing token of the holder */
   unsigned hyper process;
   hyper stamp;
-  hyper span_ms;
   unsigned hyper table_version;
   bool has_groups;
   peer_permit_group groups<PEER_BATCH_LIMIT>;
@@ -258,12 +257,10 @@
   unsigned hyper process;
   hyper stamp;
   unsigned hyper table_version; /* that it obeys; 0: none of TOKEN */
-  /* If the receiver held the duty before: its token then, the time until all
-     permissions that it had not renewed itself have ended, and how long those
-     last that it had.  */
+  /* If the receiver held the duty before: its token then, and the time until
+     all permissions that it had not renewed itself have ended.  */
   unsigned hyper held_token;
   hyper inherited_ms;
-  hyper span_ms;
 };
 
 enum peer_kind {
--- a/src/port/peer_xdr.c
+++ b/src/port/peer_xdr.c
@@ -567,8 +567,6 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->stamp))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->span_ms))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->table_version))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_groups))
@@ -596,8 +594,6 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->inherited_ms))
 		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->span_ms))
-		 return FALSE;
 	return TRUE;
 }
 
--- a/src/proxy/permits.c
+++ b/src/proxy/permits.c
@@ -248,19 +248,8 @@
     apply_table (permits, permit);
   if (permit->process == permits->process && permit->table_version != 0
       && permit->table_version == permits->obeys
-      && permit->stamp <= now_ms (permits) && permit->span_ms > 0
-      && permit->span_ms <= PERMITS_SPAN_LIMIT_MS)
-    extend (permits, permit->stamp + permit->span_ms);
-}
-
-/* Returns the duration of the permissions that this host renews.  */
-static clk_ms
-span_ms (const struct permits *permits)
-{
-  clk_ms span_ms
-      = PERMITS_SPAN_MS
-        + PERMITS_SPAN_PER_HOST_MS * (clk_ms)HASH_COUNT (permits->grantees);
-  return span_ms < PERMITS_SPAN_LIMIT_MS ? span_ms : PERMITS_SPAN_LIMIT_MS;
+      && permit->stamp <= now_ms (permits))
+    extend (permits, permit->stamp + PERMITS_SPAN_MS);
 }
 
 /* Returns the time until all permissions that this host has not renewed itself
@@ -287,8 +276,7 @@
                           .stamp = now_ms (permits),
                           .table_version = permits->obeys,
                           .held_token = permits->held_before,
-                          .inherited_ms = left_ms (permits),
-                          .span_ms = span_ms (permits) };
+                          .inherited_ms = left_ms (permits) };
   hosts_reply (permits->hosts, call, &body);
 }
 
@@ -348,7 +336,7 @@
 static void
 learn_inherited (struct permits *permits, const peer_permitted *permitted)
 {
-  clk_ms end_ms = permitted->span_ms;
+  clk_ms end_ms = PERMITS_SPAN_MS;
   if (permitted->held_token == 0 || permitted->held_token != permits->previous)
     return;
   if (permitted->inherited_ms > end_ms)
@@ -402,29 +390,34 @@
     };
 }
 
+/* Sends the table to a host, and renews its permission.  Without a valid lease
+   it is only asked to answer, until it is known that the store is down.  */
 static void
 send_permit (struct grantee *grantee)
 {
   struct permits *permits = grantee->permits;
   peer_body body = { .kind = PEER_KIND_PERMIT };
   peer_permit *permit = &body.peer_body_u.permit;
-  if (!may_renew (permits) || !hosts_ready (permits->hosts))
+  if (permits->held == 0 || !hosts_ready (permits->hosts))
     return;
   peer_permit_group *rows
       = mem_zalloc ((HASH_COUNT (permits->table) + 1) * sizeof *rows);
   *permit = (peer_permit){ .token = permits->held,
-                           .process = grantee->process,
-                           .stamp = grantee->stamp,
-                           .span_ms = span_ms (permits),
                            .table_version = permits->version };
   if (grantee->obeys != permits->version)
     fill_table (permits, permit, rows);
   grantee->told = permits->version;
-  /* Its permission counts from its last reply, which it sent before that was
-     received here.  */
-  clk_ms until_ms = grantee->replied_ms + permit->span_ms + PERMITS_MARGIN_MS;
-  if (grantee->process != 0 && until_ms > grantee->until_ms)
-    grantee->until_ms = until_ms;
+  if (grantee->process != 0 && may_renew (permits))
+    {
+      permit->process = grantee->process;
+      permit->stamp = grantee->stamp;
+      /* Its permission counts from its last reply, which it sent before that
+         was received here.  */
+      clk_ms until_ms
+          = grantee->replied_ms + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
+      if (until_ms > grantee->until_ms)
+        grantee->until_ms = until_ms;
+    }
   hosts_cancel (permits->hosts, grantee->call);
   grantee->sent_ms = now_ms (permits);
   grantee->call = hosts_call (permits->hosts, &grantee->address, &body,
@@ -510,10 +503,10 @@
 static void
 inherit (struct permits *permits)
 {
-  clk_ms own_ms = now_ms (permits) + PERMITS_SPAN_LIMIT_MS + PERMITS_MARGIN_MS;
+  clk_ms own_ms = now_ms (permits) + PERMITS_SPAN_MS + PERMITS_MARGIN_MS;
   if (permits->held_before == 0 || permits->held_before != permits->previous)
     permits->inherited_ms
-        = now_ms (permits) + ROSTER_OUTAGE_GRACE_MS + PERMITS_SPAN_LIMIT_MS;
+        = now_ms (permits) + ROSTER_OUTAGE_GRACE_MS + PERMITS_SPAN_MS;
   else if (own_ms > permits->inherited_ms)
     permits->inherited_ms = own_ms;
 }
@@ -526,7 +519,7 @@
   uint64_t token;
   struct permit_group *group;
   struct grantee *grantee;
-  if (!roster_holds_duty (permits->roster, &token) || token < permits->token)
+  if (!roster_duty_kept (permits->roster, &token) || token < permits->token)
     {
       permits->held = 0;
       return false;
@@ -564,7 +557,7 @@
 static void
 check_majority (struct permits *permits)
 {
-  clk_ms end_ms = now_ms (permits) + PERMITS_VOUCH_MS + PERMITS_SPAN_LIMIT_MS
+  clk_ms end_ms = now_ms (permits) + PERMITS_VOUCH_MS + PERMITS_SPAN_MS
                   + PERMITS_MARGIN_MS;
   if (permits->has_majority || !most_answer (permits, permits->taken_ms))
     return;
@@ -619,15 +612,17 @@
       update_grantees (permits);
       check_majority (permits);
       if (may_renew (permits))
-        extend (permits, now_ms (permits) + span_ms (permits));
+        extend (permits, now_ms (permits) + PERMITS_SPAN_MS);
       renew_due (permits);
       check_reach (permits);
     }
   log_lapse (permits);
   roster_seek_holder (permits->roster, now_ms (permits) - permits->extended_ms
                                            >= PERMITS_SEEK_MS);
-  kernel_timer_set (permits->base.kernel, &permits->tick,
-                    now_ms (permits) + PERMITS_TICK_MS);
+  kernel_timer_set (
+      permits->base.kernel, &permits->tick,
+      now_ms (permits)
+          + (permits->held != 0 ? PERMITS_TICK_MS : PERMITS_IDLE_TICK_MS));
 }
 
 void
--- a/src/proxy/permits.h
+++ b/src/proxy/permits.h
@@ -31,12 +31,10 @@
 
 #include "kernel/kernel.h"
 
-/* Duration of a permission, longer with each host, and its limit.  Longer than
-   it takes to replace a dead holder of the duty, so that primaries stay in use
+/* Duration of a permission, the same on all hosts.  Longer than it takes to
+   replace a dead holder of the duty, so that primaries stay in use
    meanwhile.  */
-#define PERMITS_SPAN_MS 2500
-#define PERMITS_SPAN_PER_HOST_MS 10
-#define PERMITS_SPAN_LIMIT_MS 4000
+#define PERMITS_SPAN_MS 2800
 
 /* Interval of renewals, longer with each host.  */
 #define PERMITS_RENEW_MS 400
@@ -49,7 +47,7 @@
 
 /* During an outage of the store the holder counts hosts that have answered a
    message of this age.  */
-#define PERMITS_VOUCH_MS 1500
+#define PERMITS_VOUCH_MS 1200
 
 /* A holder that fewer than half of the hosts have answered for this long
    leaves the duty to a host that reaches more.  */
@@ -67,7 +65,9 @@
 #define PERMITS_GREET_MS 150
 
 #define PERMITS_CALL_TIMEOUT_MS 700
+/* Interval of the checks on the holder, and on other hosts.  */
 #define PERMITS_TICK_MS 50
+#define PERMITS_IDLE_TICK_MS 200
 
 /* Why a primary may not be used.  */
 enum permits_lack
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -100,6 +100,10 @@
    TOKEN to the fencing token if so.  */
 bool roster_holds_duty (const struct roster *roster, uint64_t *token);
 
+/* Returns whether this host is the holder of the duty as far as it knows,
+   possibly without a valid lease.  Sets TOKEN likewise.  */
+bool roster_duty_kept (const struct roster *roster, uint64_t *token);
+
 /* Returns whether the lease of the duty is valid, so that no other host can
    hold it.  */
 bool roster_duty_leased (const struct roster *roster);
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -23,13 +23,21 @@
 }
 
 bool
-roster_holds_duty (const struct roster *roster, uint64_t *token)
+roster_duty_kept (const struct roster *roster, uint64_t *token)
 {
   const struct roster_key *key = roster_find_key (roster, DUTY_KEY);
   if (key == NULL || roster->leaving || strcmp (key->value, roster->self) != 0
       || key->created == roster->resigned_token)
     return false;
   *token = key->created;
+  return true;
+}
+
+bool
+roster_holds_duty (const struct roster *roster, uint64_t *token)
+{
+  if (!roster_duty_kept (roster, token))
+    return false;
   if (lease_valid (roster->duty_lease))
     return true;
   return roster_now (roster) - lease_expires_ms (roster->duty_lease)
