--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -510,6 +510,22 @@
   run_schedule (regressions[_i], fleet_new (regressions[_i], HOSTS), false);
 }
 
+/* The same on a platform that fences no old primaries.  */
+static const uint64_t unfenced_regressions[] = {
+  14,  /* a host whose registration met a removed one stayed without any */
+  125, /* the same, and the removed one was never read */
+  138, /* an order that took effect late was not noticed during a recall */
+  8,   /* an order that was given up left its instance in the table */
+};
+
+UNIT_PLAIN_LOOP (test_unfenced_regressions_pass, 0,
+                 (int)(sizeof unfenced_regressions
+                       / sizeof unfenced_regressions[0]))
+{
+  uint64_t seed = unfenced_regressions[_i];
+  run_schedule (seed, fleet_new_unfenced (seed, HOSTS), seed % 2 == 0);
+}
+
 /* Runs the schedules that the environment selects, by default COUNT.  Each
    takes as long as LENGTH ordinary ones.  */
 static void
