--- a/src/proxy/catalog.c
+++ b/src/proxy/catalog.c
@@ -248,6 +248,20 @@
     catalog->watch.instance (catalog->watch.arg, &instance->entry);
 }
 
+void
+catalog_each_instance (const struct catalog *catalog,
+                       void (*fn) (void *arg,
+                                   const struct instance_entry *entry),
+                       void *arg)
+{
+  struct catalog_instance *instance, *next;
+  HASH_ITER (hh, catalog->instances, instance, next)
+  {
+    if (!instance->gone)
+      fn (arg, &instance->entry);
+  }
+}
+
 static void
 mark_absent (struct catalog_instance *instance, clk_ms removed_after_ms)
 {
--- a/src/proxy/catalog.h
+++ b/src/proxy/catalog.h
@@ -124,6 +124,11 @@
 /* Adds or updates an instance; ignores an entry older than the known one.  */
 void catalog_set_instance (struct catalog *catalog,
                            const struct instance_entry *entry);
+/* Calls FN for the entry of each instance that is not gone.  */
+void catalog_each_instance (const struct catalog *catalog,
+                            void (*fn) (void *arg,
+                                        const struct instance_entry *entry),
+                            void *arg);
 /* Marks the entry of instance ID as absent, unless it is newer than REVISION.
    It was removed after REMOVED_AFTER_MS.  */
 void catalog_remove_instance (struct catalog *catalog, const char *id,
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -283,18 +283,8 @@
   HASH_ITER (hh, groups->table, group, next) { update_share (group); }
 }
 
-static void
-on_config (void *arg)
-{
-  struct groups *groups = arg;
-  const struct catalog_config *config = catalog_config (groups->catalog);
-  for (size_t i = 0; i < config->group_count; i++)
-    ensure_group (groups, config->groups[i].name)->settings
-        = config->groups[i];
-  update_shares (groups);
-}
-
-/* Removes the instance ID from all groups except EXCEPT.  */
+/* Removes the instance ID from all groups except EXCEPT, which may be NULL.
+ */
 static void
 remove_elsewhere (struct groups *groups, const char *id,
                   const struct group *except)
@@ -308,12 +298,22 @@
   }
 }
 
+/* Uses the instance only if a configuration has named its group: any other
+   entry is not of an instance.  */
 static void
 on_instance (void *arg, const struct instance_entry *entry)
 {
   struct groups *groups = arg;
-  struct group *group = ensure_group (groups, entry->group);
+  struct group *group = groups_find (groups, entry->group);
   remove_elsewhere (groups, entry->id, group);
+  if (group == NULL)
+    {
+      log_event (kernel_log (groups->base.kernel), LOG_NOTICE,
+                 "instance_ignored", LOG_S ("instance", entry->id),
+                 LOG_S ("group", entry->group),
+                 LOG_S ("why", "no configuration names its group"));
+      return;
+    }
   struct member_instance *instance = find_instance (group, entry->id);
   if (instance == NULL)
     {
@@ -340,6 +340,38 @@
   group_notify (group);
 }
 
+/* A group that is new in the configuration.  */
+struct group_adoption
+{
+  struct groups *groups;
+  const char *name;
+};
+
+static void
+adopt_instance (void *arg, const struct instance_entry *entry)
+{
+  const struct group_adoption *adoption = arg;
+  if (strcmp (entry->group, adoption->name) == 0)
+    on_instance (adoption->groups, entry);
+}
+
+static void
+on_config (void *arg)
+{
+  struct groups *groups = arg;
+  const struct catalog_config *config = catalog_config (groups->catalog);
+  for (size_t i = 0; i < config->group_count; i++)
+    {
+      const struct group_settings *settings = &config->groups[i];
+      struct group_adoption adoption = { groups, settings->name };
+      bool is_new = groups_find (groups, settings->name) == NULL;
+      ensure_group (groups, settings->name)->settings = *settings;
+      if (is_new)
+        catalog_each_instance (groups->catalog, adopt_instance, &adoption);
+    }
+  update_shares (groups);
+}
+
 /* An instance whose entry was removed is draining, so a primary is handed over
    if it can still be reached.  */
 static void
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -780,6 +780,61 @@
     }
 }
 
+/* Guards against UNASKED and ROUTE: an entry of another writer, whose service
+   no configuration names, was used as an instance.  Its address is that of the
+   primary.  */
+UNIT_TEST (test_an_entry_of_an_unknown_service_gets_no_connection)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  fleet_store_put (fleet, "servers/i-9",
+                   "{\"service\":\"other\",\"address\":\"10.0.0.1:1000\","
+                   "\"zone\":\"zone-0\",\"version\":\"v1\",\"capacity\":5,"
+                   "\"state\":\"ready\",\"db_role\":\"primary\","
+                   "\"sequence\":1,\"born\":1}");
+  fleet_run (fleet, 3000);
+  ck_assert_ptr_null (groups_find (host->groups, "other"));
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+}
+
+/* Another writer's entry in place of that of an instance.  */
+UNIT_TEST (test_an_instance_that_moves_to_an_unknown_service_gets_no_work)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
+  fleet_instance (fleet, 1)->unregistered = true;
+  fleet_store_put (fleet, "servers/i-1",
+                   "{\"service\":\"other\",\"address\":\"10.0.0.2:1001\","
+                   "\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":5,"
+                   "\"state\":\"ready\",\"db_role\":\"replica\","
+                   "\"sequence\":9999,\"born\":9}");
+  fleet_run (fleet, 200);
+  for (int i = 0; i < 20; i++)
+    {
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+      ck_assert_str_ne (fleet_caller_server (caller), "i-1");
+    }
+}
+
+/* The entries of a service may be read before the configuration that names
+   it.  */
+UNIT_TEST (test_instances_are_used_once_a_configuration_names_their_service)
+{
+  struct fleet_host *host = fleet_host (fleet, 1);
+  fleet_store_remove (fleet, "op/config");
+  fleet_host_kill (host);
+  fleet_host_start (host);
+  fleet_run (fleet, 300);
+  ck_assert_ptr_null (groups_find (host->groups, FLEET_GROUP));
+  fleet_change_config (fleet);
+  fleet_run (fleet, 2000);
+  struct fleet_caller *caller
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+}
+
 UNIT_TEST (test_an_idle_fleet_makes_few_calls_to_the_store)
 {
   uint64_t before = fleet_store_calls (fleet);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -317,6 +317,63 @@
                    unusable[i]);
 }
 
+/* Names from the store that would split a message, as JSON strings.  */
+static const char *const split_names[] = { "s w\\r\\nQUERY f0 WRITE 7 forged",
+                                           "s w",
+                                           " s",
+                                           "s\\r",
+                                           "s\\n",
+                                           "s\\t",
+                                           "s\\u007f",
+                                           "" };
+
+/* Guards against UNASKED: the service's name of a foreign entry put a
+   statement on the connection to an instance.  */
+UNIT_PLAIN (test_entries_whose_names_would_split_a_message_are_rejected)
+{
+  static const char *const format
+      = "{\"service\":\"%s\",\"address\":\"10.0.0.1:1\",\"zone\":\"%s\","
+        "\"state\":\"ready\",\"db_role\":\"replica\"}";
+  static const char *const keys[]
+      = { "servers/", "servers/i 1", "servers/i-1\r\nQUERY f0 WRITE 7 forged",
+          "servers/i-1\n" };
+  struct instance_entry entry;
+  char *good = mem_printf (format, "s", "z");
+  ck_assert (parse_entry (&entry, "servers/i-1", good));
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    ck_assert_msg (!parse_entry (&entry, keys[i], good), "%s", keys[i]);
+  free (good);
+  for (size_t i = 0; i < sizeof split_names / sizeof split_names[0]; i++)
+    {
+      char *value = mem_printf (format, split_names[i], "z");
+      ck_assert_msg (!parse_entry (&entry, "servers/i-1", value), "%s", value);
+      free (value);
+    }
+}
+
+/* Guards against UNASKED: as for entries, with the operators' names.  */
+UNIT_PLAIN (test_groups_whose_names_would_split_a_message_are_left_out)
+{
+  for (size_t i = 0; i < sizeof split_names / sizeof split_names[0]; i++)
+    {
+      struct catalog_config out;
+      char *value = mem_printf (
+          "{\"version\":7,\"routes\":[{\"host\":\"db\",\"kind\":\"primary\","
+          "\"service\":\"%s\"}],\"services\":[{\"name\":\"%s\"},"
+          "{\"name\":\"good\"}]}",
+          split_names[i], split_names[i]);
+      struct platform_item item = { .key = "op/config",
+                                    .value = value,
+                                    .value_bytes = strlen (value) };
+      ck_assert (catalog_loader_parse_config (&out, &item));
+      ck_assert_uint_eq (out.route_count, 0);
+      ck_assert_uint_eq (out.group_count, 1);
+      ck_assert_str_eq (out.groups[0].name, "good");
+      catalog_config_clear (&out);
+      free (value);
+    }
+}
+
 static const char *const config
     = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"kind\":"
       "\"read_your_writes\",\"timeout_ms\":1000,\"priority\":2,\"service\":"
