A primary's log counts as applied while it leads without interruption

Cause: the position from which on a primary's log is complete was kept as long as this host took the instance for the primary. The host saw nothing of the primary between, so the position of two terms ago still counted. Neither the position nor the answer to BEGIN tells the term.

Change: confirmations at most 200 ms apart continue what is known, since a promotion takes some hundred ms. Otherwise STATUS is asked, behind BEGIN on the connection of the read that needs it, or by the probe that wants a sample.

Conclusion: what a host missed can't make an old position count.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -69,6 +69,7 @@
 {
   STEP_SETUP, /* RESET, SET, PREPARE */
   STEP_BEGIN,
+  STEP_STATUS,
   STEP_MAIN, /* the statement of the user */
   STEP_END   /* ROLLBACK sent by the proxy */
 };
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -38,7 +38,10 @@
   enum code refusal;         /* code of the last attempt */
   bool confirms_leader;      /* read on the primary within BEGIN */
   bool begins;               /* BEGIN was sent for this statement */
-  struct admission *queue;   /* that counts it; NULL: none */
+  bool queries_log;          /* STATUS was sent after it */
+  bool is_fresh;             /* the primary is known to have applied its log */
+  clk_ms status_sent_ms;
+  struct admission *queue; /* that counts it; NULL: none */
   bool has_min_position;
   struct position min_position;
   size_t tried_count;
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -100,6 +100,8 @@
   struct backend *leader = group != NULL ? group_leader (group) : NULL;
   run->has_min_position = false;
   run->confirms_leader = !caller_in_transaction (caller) && !run->writes;
+  if (group != NULL)
+    group_note_use (group);
   if (leader == NULL || !backend_usable (leader))
     {
       wait_for_group (caller, "no primary");
@@ -288,16 +290,33 @@
     }
 }
 
+/* Queries, within the transaction, whether the primary has applied its
+   log.  */
+static void
+send_status (struct caller *caller)
+{
+  struct run_request *run = &caller->run;
+  run->queries_log = true;
+  run->status_sent_ms = caller_now (caller);
+  conn_send (caller->conn, STEP_STATUS,
+             &(struct statement){ .kind = STMT_STATUS }, NULL);
+}
+
 static void
 send_begin (struct caller *caller)
 {
   struct run_request *run = &caller->run;
+  const struct group *group = caller_group (caller);
   bool plain = caller_needs_leader (caller);
   run->begin_sent_ms = caller_now (caller);
+  run->queries_log = run->is_fresh = false;
   conn_send (
       caller->conn, STEP_BEGIN,
       &(struct statement){ .kind = plain ? STMT_BEGIN : STMT_BEGIN_READ },
       plain ? NULL : &run->min_position);
+  if (plain && group != NULL
+      && !group_lead_is_recent (group, conn_backend (caller->conn)))
+    send_status (caller);
 }
 
 /* Returns whether CONN, which the statement has waited for, belongs to an
@@ -417,8 +436,10 @@
     return;
   if (commits (caller) && position_compare (answer->position, caller->own) > 0)
     caller->own = answer->position;
-  if (confirms_leader)
-    group_confirm_leader (group, backend, answer->position, run->sent_ms);
+  if (confirms_leader
+      && !group_confirm_leader (group, backend, answer->position,
+                                run->sent_ms))
+    group_query_log (group, backend, run->sent_ms);
 }
 
 /* Returns whether a commit that succeeded may have run on a primary that had
@@ -533,27 +554,62 @@
     caller_finish (caller, answer);
 }
 
+/* Lets the statement wait for a primary that may be used and has applied its
+   log.  */
+static void
+leave_primary (struct caller *caller, const char *why)
+{
+  caller_drop_conn (caller);
+  caller_wait_for_group (caller, why, CALLER_CATCH_UP_RETRY_MS);
+}
+
 /* Handles the answer to a BEGIN that was sent to the primary.  Returns false
-   if the primary may not be used, or has not applied its log yet; the
-   statement then waits.  */
+   if the statement can't be sent now.  */
 static bool
 handle_begin (struct caller *caller, struct backend *backend,
               const struct answer *answer)
 {
+  struct run_request *run = &caller->run;
   struct group *group = caller_group (caller);
   if (group == NULL || !answer->has_position)
     return true;
-  group_confirm_leader (group, backend, answer->position,
-                        caller->run.begin_sent_ms);
+  run->is_fresh = group_confirm_leader (group, backend, answer->position,
+                                        run->begin_sent_ms);
   enum permits_lack lack = group_lack (group, backend);
-  bool caught_up = group_leader_caught_up (group, backend, answer->position);
-  if (caught_up && lack == PERMITS_NOTHING)
+  if (lack != PERMITS_NOTHING)
+    {
+      leave_primary (caller, permits_lack_name (lack));
+      return false;
+    }
+  if (!run->is_fresh && !run->queries_log)
+    send_status (caller);
+  return true;
+}
+
+/* Handles the answer to STATUS.  Returns false if the statement can't be sent
+   now.  */
+static bool
+handle_status (struct caller *caller, struct backend *backend,
+               const struct answer *answer)
+{
+  struct run_request *run = &caller->run;
+  struct group *group = caller_group (caller);
+  struct instance_status status;
+  if (answer->state == TX_OPEN && (run->is_fresh || group == NULL))
     return true;
+  if (group != NULL && answer->state == TX_OPEN
+      && group_parse_status (group, &status, answer))
+    {
+      if (group_confirm_log (group, backend, &status, answer->position,
+                             run->status_sent_ms, run->begin_sent_ms))
+        return true;
+      leave_primary (caller, "the primary is catching up");
+      return false;
+    }
+  run->refusal = code_not_run (answer->code) ? answer->code : CODE_BUSY;
   caller_drop_conn (caller);
-  caller_wait_for_group (caller,
-                         caught_up ? permits_lack_name (lack)
-                                   : "the primary is catching up",
-                         CALLER_CATCH_UP_RETRY_MS);
+  if (run->refusal != CODE_BUSY || caller_enter_queue (caller))
+    caller_retry (caller, run->refusal);
   return false;
 }
 
@@ -588,13 +644,18 @@
         }
       return;
     }
-  if (answer->code != CODE_OK)
+  if (step == STEP_STATUS)
+    {
+      if (!handle_status (caller, backend, answer))
+        return;
+    }
+  else if (answer->code != CODE_OK)
     {
       handle_set_up_error (caller, answer);
       return;
     }
-  if (step == STEP_BEGIN && caller_needs_leader (caller)
-      && !handle_begin (caller, backend, answer))
+  else if (step == STEP_BEGIN && caller_needs_leader (caller)
+           && !handle_begin (caller, backend, answer))
     return;
   if (conn_outstanding (conn) == 0)
     send_main (caller);
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -110,7 +110,8 @@
                      struct position position, clk_ms sent_ms)
 {
   struct member_instance *instance = arg;
-  group_confirm_leader (instance->group, backend, position, sent_ms);
+  if (!group_confirm_leader (instance->group, backend, position, sent_ms))
+    group_query_log (instance->group, backend, sent_ms);
 }
 
 static void
@@ -412,14 +413,12 @@
     backend_probe (group->leader);
 }
 
-/* Probes the primary if its newest sample is too old.  Without a reachable
+/* Probes the primary if it is monitored or in use.  Without a reachable
    primary, probes all instances to find one.  */
 static void
 probe_leader (struct group *group)
 {
   struct groups *groups = group->groups;
-  clk_ms age_ms = group_now (group) - samples_newest_ms (&group->samples);
-  clk_ms limit_ms = groups->monitor ? GROUP_MONITOR_MS : GROUP_SAMPLE_AGE_MS;
   bool in_use = group_now (group) - group->used_ms < GROUP_IN_USE_MS;
   if (group->leader == NULL || !backend_usable (group->leader))
     {
@@ -427,8 +426,8 @@
         backend_probe (group->instances[i]->backend);
       return;
     }
-  if ((in_use || groups->monitor) && age_ms >= limit_ms)
-    backend_probe (group->leader);
+  if (in_use || groups->monitor)
+    group_keep_lead (group);
 }
 
 /* Probes the instances that have not answered for too long.  */
@@ -571,6 +570,13 @@
   return primary ? &group->for_primary : &group->for_any;
 }
 
+bool
+group_parse_status (const struct group *group, struct instance_status *status,
+                    const struct answer *answer)
+{
+  return group->groups->options.parse_status (status, answer);
+}
+
 bool
 group_takes_work (const struct group *group, const struct backend *backend)
 {
@@ -589,9 +595,15 @@
 }
 
 void
-group_request_sample (struct group *group)
+group_note_use (struct group *group)
 {
   group->used_ms = group_now (group);
+}
+
+void
+group_request_sample (struct group *group)
+{
+  group_note_use (group);
   if (group->leader != NULL)
     backend_probe (group->leader);
 }
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -30,19 +30,19 @@
 #define GROUP_TICK_MS 100
 #define GROUP_SEARCH_TICK_MS 40
 
-/* Age of the newest sample at which the primary of a group in use is
-   probed.  */
-#define GROUP_SAMPLE_AGE_MS 600
+/* Time since the last confirmation at which the primary of a group in use is
+   probed.  Less often, each sample and each read on the primary would need a
+   STATUS, which takes a slot of the instance.  */
+#define GROUP_LEAD_PROBE_MS 60
 
-/* Age of the newest sample at which a primary is probed by the host that
-   monitors it, and time without an answer after which all hosts probe it while
-   one reports it as unreachable.  */
+/* Time without an answer after which all hosts probe the primary while one
+   reports it as unreachable.  */
 #define GROUP_MONITOR_MS 200
 
 /* Time without an answer after which any instance is probed.  */
 #define GROUP_IDLE_PROBE_MS 3000
 
-/* A group without reads for this long is not sampled.  */
+/* A group that has not been used for this long is not sampled.  */
 #define GROUP_IN_USE_MS 5000
 
 /* An instance that refused a position gets no read that requires it for this
@@ -152,6 +152,9 @@
 /* Returns the time since which no primary is known; CLK_NEVER if one is.  */
 clk_ms group_leaderless_since_ms (const struct group *group);
 
+/* Marks the group as in use, so that its primary is sampled.  */
+void group_note_use (struct group *group);
+
 /* Lists the instances; returns their number.  */
 size_t group_instances (struct group *group,
                         struct backend *out[GROUP_INSTANCES]);
@@ -196,14 +199,31 @@
 void group_request_sample (struct group *group);
 
 /* Records that BACKEND was the primary when it answered, with POSITION, a
-   statement sent at SENT_MS.  */
-void group_confirm_leader (struct group *group, struct backend *backend,
+   statement sent at SENT_MS.  Returns whether a read on it sees all commits
+   that were acknowledged before SENT_MS; otherwise that is not known.  */
+bool group_confirm_leader (struct group *group, struct backend *backend,
                            struct position position, clk_ms sent_ms);
-/* Returns whether a read on BACKEND, the primary, at POSITION of its log sees
-   all commits acknowledged before.  */
-bool group_leader_caught_up (const struct group *group,
-                             const struct backend *backend,
-                             struct position position);
+/* Queries whether BACKEND, which led at ACCEPTED_MS or later, has applied its
+   log.  Subscribers are notified of the answer.  */
+void group_query_log (struct group *group, struct backend *backend,
+                      clk_ms accepted_ms);
+/* Records STATUS, which BACKEND answered, with POSITION, within a transaction
+   that it had accepted as the primary.  STATUS was sent at SENT_MS, and the
+   BEGIN at BEGUN_MS.  Returns whether a read in that transaction sees all
+   commits that were acknowledged before BEGUN_MS.  */
+bool group_confirm_log (struct group *group, struct backend *backend,
+                        const struct instance_status *status,
+                        struct position position, clk_ms sent_ms,
+                        clk_ms begun_ms);
+/* Returns whether BACKEND has been confirmed as the primary so recently that
+   the answer to a BEGIN, without STATUS, will most likely tell whether it has
+   applied its log.  */
+bool group_lead_is_recent (const struct group *group,
+                           const struct backend *backend);
+/* Parses the answer to STMT_STATUS.  */
+bool group_parse_status (const struct group *group,
+                         struct instance_status *status,
+                         const struct answer *answer);
 
 /* Records that BACKEND refused a statement because it is not the primary.  */
 void group_reject_leader (struct group *group, struct backend *backend);
--- a/src/proxy/group_confirm.c
+++ b/src/proxy/group_confirm.c
@@ -6,7 +6,13 @@
    confirms that no other instance is the primary, but a read may still miss
    acknowledged commits.  The instance has caught up once its log has reached
    the position that it had received; from then on each position that it
-   reports is a sample.  */
+   reports is a sample.
+
+   That holds as long as the instance leads without interruption.  Neither the
+   answer to BEGIN nor a position tells whether it was replaced and promoted
+   again meanwhile, as this host may have stood still, been cut off or sent
+   nothing.  But that takes at least the time of a promotion, so only answers
+   at shorter intervals continue what is known.  */
 
 #include "proxy/group_impl.h"
 
@@ -16,6 +22,14 @@
    next confirmation of the primary starts another query.  */
 #define QUERY_TIMEOUT_MS 60
 
+/* An instance that accepted two statements as the primary within this time has
+   not been replaced in between: a promotion takes effect some hundred
+   milliseconds after its order.  */
+#define LEAD_INTERVAL_MS 200
+
+/* Time allowed for the answer to the next statement.  */
+#define ANSWER_MARGIN_MS 50
+
 void
 group_forget_log (struct group *group, const struct backend *backend)
 {
@@ -28,16 +42,56 @@
   group->queried = NULL;
 }
 
+static void
+log_caught_up (const struct group *group)
+{
+  log_event (kernel_log (group->groups->base.kernel), LOG_INFO, "primary_log",
+             LOG_S ("group", group->settings.name),
+             LOG_S ("instance", backend_entry (group->caught_up)->id),
+             LOG_U ("from_term", group->caught_up_at.term),
+             LOG_U ("from", group->caught_up_at.lsn));
+}
+
+/* Records that BACKEND led at LED_MS or later and that its log contains all
+   acknowledged commits FROM that position on.  */
 static void
 set_caught_up (struct group *group, struct backend *backend,
-               struct position from)
+               struct position from, clk_ms led_ms)
 {
+  bool is_new = group->caught_up != backend;
   group->caught_up = backend;
   group->caught_up_at = from;
-  log_event (kernel_log (group->groups->base.kernel), LOG_INFO, "primary_log",
-             LOG_S ("group", group->settings.name),
-             LOG_S ("instance", backend_entry (backend)->id),
-             LOG_U ("from_term", from.term), LOG_U ("from", from.lsn));
+  group->led_ms = led_ms;
+  if (is_new)
+    log_caught_up (group);
+}
+
+/* Adds a sample.  BACKEND, the primary, was asked for it at SENT_MS.  */
+static void
+add_sample (struct group *group, const struct backend *backend,
+            struct position position, clk_ms sent_ms)
+{
+  if (!permits_covered (group->groups->permits, group->settings.name,
+                        backend_entry (backend)->id, sent_ms))
+    return;
+  samples_add (&group->samples, position, sent_ms);
+  group_notify (group);
+}
+
+bool
+group_confirm_log (struct group *group, struct backend *backend,
+                   const struct instance_status *status,
+                   struct position position, clk_ms sent_ms, clk_ms begun_ms)
+{
+  if (MUTANT (trust_new_primary))
+    return true;
+  if (!status->is_primary || group->leader != backend)
+    return false;
+  set_caught_up (group, backend, status->received, sent_ms);
+  if (position_compare (position, status->received) < 0)
+    return false;
+  add_sample (group, backend, position, begun_ms);
+  return true;
 }
 
 static void
@@ -47,45 +101,56 @@
   struct backend *backend = group->queried;
   group->query = NULL;
   group->queried = NULL;
-  if (count == 1 && rows[0].answered && rows[0].status.is_primary
-      && group->leader == backend)
-    set_caught_up (group, backend, rows[0].status.received);
+  if (count == 1 && rows[0].answered)
+    group_confirm_log (group, backend, &rows[0].status, rows[0].applied,
+                       group->queried_ms, group->query_accepted_ms);
   group_notify (group);
 }
 
-/* Queries the position up to which BACKEND has received the log.  */
-static void
-query_state (struct group *group, struct backend *backend)
+void
+group_query_log (struct group *group, struct backend *backend,
+                 clk_ms accepted_ms)
 {
   struct groups *groups = group->groups;
-  if (group->query != NULL)
+  if (group->query != NULL || group->leader != backend)
     return;
   group->queried = backend;
+  group->queried_ms = group_now (group);
+  group->query_accepted_ms = accepted_ms;
   group->query = status_query_new (
       groups->base.kernel, groups->options.parse_status, 1, &backend,
       STMT_STATUS, 0, QUERY_TIMEOUT_MS, on_state, group);
 }
 
-/* Determines the position at which the log of BACKEND, the primary, contains
-   all acknowledged commits.  A term above that of the newest sample does not
-   tell: there may have been another change of primary since, whose term
-   BACKEND has not reached in its log yet.  */
-static void
-find_caught_up (struct group *group, struct backend *backend)
+/* Returns whether BACKEND, which accepted a statement sent at SENT_MS, is
+   known to have led without interruption since its log was found complete.  */
+static bool
+continue_lead (struct group *group, const struct backend *backend,
+               clk_ms sent_ms)
 {
   if (group->caught_up != backend)
-    query_state (group, backend);
+    return false;
+  if (group_now (group) - group->led_ms > LEAD_INTERVAL_MS
+      && !MUTANT (trust_earlier_lead))
+    return false;
+  if (group->led_ms < sent_ms)
+    group->led_ms = sent_ms;
+  return true;
+}
+
+void
+group_keep_lead (struct group *group)
+{
+  if (group_now (group) - group->led_ms >= GROUP_LEAD_PROBE_MS)
+    backend_probe (group->leader);
 }
 
 bool
-group_leader_caught_up (const struct group *group,
-                        const struct backend *backend,
-                        struct position position)
+group_lead_is_recent (const struct group *group, const struct backend *backend)
 {
-  if (MUTANT (trust_new_primary))
-    return true;
   return group->caught_up == backend
-         && position_compare (position, group->caught_up_at) >= 0;
+         && group_now (group) - group->led_ms
+                <= LEAD_INTERVAL_MS - ANSWER_MARGIN_MS;
 }
 
 void
@@ -96,27 +161,29 @@
     group_set_leader (group, NULL, "refused");
 }
 
-void
+bool
 group_confirm_leader (struct group *group, struct backend *backend,
                       struct position position, clk_ms sent_ms)
 {
-  const struct permits *permits = group->groups->permits;
   /* A delayed answer from an earlier term must not replace the primary of a
      newer one.  */
   if (position.term < samples_newest (&group->samples).term)
-    return;
+    return false;
   if (!group_may_lead (group, backend))
     {
       group_reject_leader (group, backend);
-      return;
+      return false;
     }
   group_set_leader (group, backend, "proven");
   group->proven = true;
-  find_caught_up (group, backend);
-  if (!group_leader_caught_up (group, backend, position)
-      || !permits_covered (permits, group->settings.name,
-                           backend_entry (backend)->id, sent_ms))
-    return;
-  samples_add (&group->samples, position, sent_ms);
-  group_notify (group);
+  if (MUTANT (trust_new_primary))
+    {
+      add_sample (group, backend, position, sent_ms);
+      return true;
+    }
+  if (!continue_lead (group, backend, sent_ms)
+      || position_compare (position, group->caught_up_at) < 0)
+    return false;
+  add_sample (group, backend, position, sent_ms);
+  return true;
 }
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -27,10 +27,14 @@
   struct backend *leader;
   bool proven; /* LEADER has accepted a plain BEGIN since it was found */
   /* Once the log of CAUGHT_UP, the primary, has reached CAUGHT_UP_AT, it
-     contains all acknowledged commits.  */
+     contains all acknowledged commits.  It has led without interruption up to
+     LED_MS.  */
   struct backend *caught_up;
   struct position caught_up_at;
-  struct backend *queried; /* the instance that QUERY was sent to */
+  clk_ms led_ms;
+  struct backend *queried;  /* the instance that QUERY was sent to */
+  clk_ms queried_ms;        /* time of the query */
+  clk_ms query_accepted_ms; /* it led then or later, before the query */
   struct status_query *query;
   clk_ms leaderless_ms; /* since when no primary is known */
   clk_ms used_ms;       /* time of the last read */
@@ -74,6 +78,9 @@
 
 /* group_confirm.c: discards what is known about the log of BACKEND.  */
 void group_forget_log (struct group *group, const struct backend *backend);
+/* Probes the primary, unless it was confirmed recently, so that its lead is
+   known to be uninterrupted.  */
+void group_keep_lead (struct group *group);
 
 /* group_domains.c: updates whether this host is cut off.  */
 void groups_check_domains (struct groups *groups);
--- a/src/proxy/status_query.c
+++ b/src/proxy/status_query.c
@@ -62,6 +62,8 @@
   struct status_row *row = &user->query->rows[user->row];
   (void)step;
   row->answered = user->query->parse (&row->status, answer);
+  if (answer->has_position)
+    row->applied = answer->position;
   if (!row->answered && answer->code == CODE_BUSY && answer->has_position
       && user->query->kind == STMT_STATUS)
     {
--- a/src/proxy/status_query.h
+++ b/src/proxy/status_query.h
@@ -16,6 +16,7 @@
   char id[NAME_BYTES];
   bool answered;
   struct instance_status status; /* valid if ANSWERED */
+  struct position applied;       /* likewise; zero if not reported */
 };
 
 struct status_query;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -118,6 +118,7 @@
   struct roster *roster;
   struct promoter *promoter;
   clk_ms disturbed_ms;                 /* last time of a disturbance */
+  clk_ms frozen_until_ms;              /* runs nothing before */
   bool store_cut;                      /* can't reach the store */
   bool instances_cut[FLEET_INSTANCES]; /* can't reach an instance */
   struct instance_port instances;
@@ -168,6 +169,12 @@
    they expire.  */
 void fleet_host_kill (struct fleet_host *host);
 
+/* Makes HOST stand still for SPAN_MS, or if that is 0 lets it go on: nothing
+   of it runs, and what arrives for it meanwhile is delivered when it goes on,
+   before its timers fire.  The test must not use its callers meanwhile.  */
+void fleet_host_freeze (struct fleet_host *host, clk_ms span_ms);
+bool fleet_host_frozen (const struct fleet_host *host);
+
 /* Lets the instances write their current entries to the store.  */
 void fleet_publish (struct fleet *fleet);
 
@@ -319,6 +326,9 @@
 bool fleet_status_parse (struct instance_status *status,
                          const struct answer *answer);
 
+/* Interval at which deliveries to a frozen host are tried again.  */
+#define FLEET_FROZEN_POLL_MS 1
+
 /* Calls FN (ARG) after SPAN_MS of virtual time.  */
 void fleet_schedule (struct fleet *fleet, clk_ms span_ms, void (*fn) (void *),
                      void *arg);
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -142,10 +142,22 @@
 
 static void run_next (struct instance_link *link);
 
+/* Tries FN again later if the host stands still.  */
+static bool
+postpone (struct instance_link *link, void (*fn) (struct instance_link *link))
+{
+  if (link->host == NULL || !fleet_host_frozen (link->host))
+    return false;
+  schedule_step (link, FLEET_FROZEN_POLL_MS, fn);
+  return true;
+}
+
 static void
 deliver (struct instance_link *link)
 {
   struct answer answer = link->answer;
+  if (postpone (link, deliver))
+    return;
   link->running = false;
   link->count--;
   link->head = (link->head + 1) % QUEUE;
@@ -594,6 +606,8 @@
 opened (struct instance_link *link)
 {
   struct fleet_instance *instance = link->instance;
+  if (postpone (link, opened))
+    return;
   if (link->host == NULL || is_cut (link))
     return; /* the packet is lost */
   if (instance->connections >= instance->max_connections)
--- a/tests/fleet/fleet_peers.c
+++ b/tests/fleet/fleet_peers.c
@@ -73,10 +73,23 @@
   call->done (call->arg, status, reply);
 }
 
+/* Tries FN again later if HOST, which may be NULL, stands still.  */
+static bool
+postpone (const struct fleet_host *host, struct fleet_call *call,
+          void (*fn) (void *), void *arg)
+{
+  if (host == NULL || !host->running || !fleet_host_frozen (host))
+    return false;
+  fleet_schedule (call->fleet, FLEET_FROZEN_POLL_MS, fn, arg);
+  return true;
+}
+
 static void
 time_out (void *arg)
 {
   struct fleet_call *call = arg;
+  if (postpone (call->from, call, time_out, arg))
+    return;
   finish (call, call->delivered ? PEER_TIMEOUT : PEER_UNREACHABLE, NULL);
   step_done (call);
 }
@@ -93,6 +106,8 @@
   struct fleet_call *call = arg;
   struct fleet_host *to = call->to;
   peer_message message;
+  if (postpone (to, call, deliver_call, arg))
+    return;
   bool cut = to->peers_cut || call->from == NULL || call->from->peers_cut;
   if (!cut && is_up (call)
       && rpc_body_decode (call->body.data, call->body.size_bytes, &message))
@@ -156,6 +171,8 @@
   struct reply *reply = arg;
   struct fleet_call *call = reply->call;
   peer_message message;
+  if (postpone (call->from, call, deliver_reply, arg))
+    return;
   if (call->from != NULL && !call->from->peers_cut && !call->to->peers_cut
       && rpc_body_decode (reply->body.data, reply->body.size_bytes, &message))
     {
@@ -172,6 +189,9 @@
 static void
 connection_lost (void *arg)
 {
+  struct fleet_call *call = arg;
+  if (postpone (call->from, call, connection_lost, arg))
+    return;
   finish (arg, PEER_LOST, NULL);
   step_done (arg);
 }
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -382,6 +382,13 @@
   return !call->store->down && (call->host == NULL || !call->host->store_cut);
 }
 
+static bool
+is_frozen (const struct store_call *call)
+{
+  return call->host != NULL && call->host->running
+         && fleet_host_frozen (call->host);
+}
+
 static void
 answer_watches (struct fleet_store *store)
 {
@@ -391,7 +398,8 @@
       struct store_call *call, *next;
       answered = false;
       DL_FOREACH_SAFE (store->calls_in_flight, call, next)
-      if (call->waiting && is_served (call) && answer_watch (call))
+      if (call->waiting && is_served (call) && !is_frozen (call)
+          && answer_watch (call))
         {
           answered = true;
           break; /* the callback may have changed the list */
@@ -416,11 +424,25 @@
   uint64_t id;
 };
 
+/* Tries FN again later if the host of CALL, which may be NULL, stands
+   still.  */
+static bool
+postpone (const struct store_call *call, void (*fn) (void *),
+          struct call_ref *ref)
+{
+  if (call == NULL || !is_frozen (call))
+    return false;
+  fleet_schedule (ref->store->fleet, FLEET_FROZEN_POLL_MS, fn, ref);
+  return true;
+}
+
 static void
 call_expired (void *arg)
 {
   struct call_ref *ref = arg;
   struct store_call *call = find_call (ref->store, ref->id);
+  if (postpone (call, call_expired, ref))
+    return;
   bool writes = call != NULL
                 && (call->call.kind == PLATFORM_WRITE
                     || call->call.kind == PLATFORM_LEASE
@@ -448,6 +470,8 @@
 {
   struct call_ref *ref = arg;
   struct store_call *call = find_call (ref->store, ref->id);
+  if (postpone (call, keep_alive, ref))
+    return;
   bool ended = call == NULL || call->lost
                || (is_served (call) && call->waiting && answer_watch (call));
   if (ended)
@@ -525,6 +549,8 @@
 {
   struct call_ref *ref = arg;
   struct store_call *call = find_call (ref->store, ref->id);
+  if (postpone (call, watch_sent_again, ref))
+    return;
   free (ref);
   if (call != NULL && is_served (call))
     run_call (call);
@@ -537,6 +563,8 @@
 {
   struct call_ref *ref = arg;
   struct store_call *call = find_call (ref->store, ref->id);
+  if (postpone (call, call_arrived, ref))
+    return;
   if (call != NULL && is_served (call))
     run_call (call);
   else if (call != NULL && call->call.kind == PLATFORM_WATCH)
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -277,7 +277,8 @@
   for (size_t i = 0; i < fleet->host_count; i++)
     {
       struct fleet_host *host = &fleet->hosts[i];
-      if (!host->running || host->store_cut || host->peers_cut)
+      if (!host->running || host->store_cut || host->peers_cut
+          || fleet_host_frozen (host))
         host->disturbed_ms = now_ms;
       if (host->running)
         check_config (host);
@@ -345,6 +346,7 @@
   kernel_register (host->kernel, catalog_loader_new ());
   kernel_register (host->kernel, mirror_module (mirror_new (&host->store)));
   host->running = true;
+  host->frozen_until_ms = CLK_LONG_AGO;
   host->incarnation++;
   host->disturbed_ms = fleet_now (fleet);
   host->config_seen = 0;
@@ -363,6 +365,23 @@
   host->kernel = NULL;
 }
 
+/* Time by which the timers of a host that goes on fire later than what has
+   arrived for it is delivered.  */
+#define THAW_MS ((clk_ms)2 * FLEET_FROZEN_POLL_MS)
+
+void
+fleet_host_freeze (struct fleet_host *host, clk_ms span_ms)
+{
+  host->frozen_until_ms = fleet_now (host->fleet) + span_ms;
+  host->disturbed_ms = host->frozen_until_ms;
+}
+
+bool
+fleet_host_frozen (const struct fleet_host *host)
+{
+  return host->fleet->clk.now_ms < host->frozen_until_ms;
+}
+
 struct fleet *
 fleet_new (uint64_t seed, size_t hosts)
 {
@@ -491,7 +510,8 @@
 {
   kernel_run_due (fleet->kernel);
   for (size_t i = 0; i < fleet->host_count; i++)
-    if (fleet->hosts[i].running)
+    if (fleet->hosts[i].running
+        && fleet->clk.now_ms >= fleet->hosts[i].frozen_until_ms + THAW_MS)
       kernel_run_due (fleet->hosts[i].kernel);
 }
 
@@ -503,6 +523,9 @@
     if (fleet->hosts[i].running)
       {
         clk_ms host_ms = kernel_next_due (fleet->hosts[i].kernel);
+        clk_ms thawed_ms = fleet->hosts[i].frozen_until_ms + THAW_MS;
+        if (host_ms < thawed_ms)
+          host_ms = thawed_ms;
         if (host_ms < due_ms)
           due_ms = host_ms;
       }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -55,7 +55,8 @@
   size_t h = below (s, s->fleet->host_count);
   struct fleet_host *host = fleet_host (s->fleet, h);
   /* A host accepts callers once it has read the configuration.  */
-  if (!host->running || catalog_config (host->catalog)->version == 0)
+  if (!host->running || fleet_host_frozen (host)
+      || catalog_config (host->catalog)->version == 0)
     return;
   s->callers[i] = fleet_caller_open (host, databases[below (s, 3)]);
   s->host_of[i] = h;
@@ -111,9 +112,19 @@
     }
 }
 
+/* Returns whether the host of caller I stands still.  */
+static bool
+stands_still (const struct schedule *s, size_t i)
+{
+  return s->callers[i] != NULL
+         && fleet_host_frozen (fleet_host (s->fleet, s->host_of[i]));
+}
+
 static void
 step_caller (struct schedule *s, size_t i)
 {
+  if (stands_still (s, i))
+    return;
   if (s->callers[i] == NULL)
     {
       open_caller (s, i);
@@ -497,6 +508,50 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which hosts stand still while primaries are replaced in quick
+   succession, and lead again before they have applied their log.  */
+#define FROZEN_SEEDS 60
+#define FROZEN_LENGTH 5
+#define FROZEN_ROUNDS 5
+
+static void
+replace_primary (struct schedule *s)
+{
+  struct fleet_instance *primary = fleet_primary (s->fleet);
+  if (primary == NULL)
+    return;
+  primary->unreachable = true;
+  run_callers (s, 700 + (clk_ms)below (s, 700), STEP_MS);
+  primary->unreachable = false;
+  run_callers (s, (clk_ms)below (s, 500), STEP_MS);
+}
+
+static void
+run_frozen (uint64_t seed)
+{
+  struct schedule s = { .fleet = fleet_new (seed, HOSTS) };
+  rng_init (&s.rng, seed + 5000000);
+  fleet_run (s.fleet, 5000);
+  for (int round = 0; round < FROZEN_ROUNDS; round++)
+    {
+      clk_ms lag_ms = below (&s, 3) > 0 ? 4000 : 8;
+      run_callers (&s, 1000 + (clk_ms)below (&s, 1000), STEP_MS);
+      for (size_t i = 0; i < FLEET_INSTANCES; i++)
+        fleet_instance (s.fleet, i)->lag_ms = lag_ms;
+      for (uint64_t left = 1 + below (&s, 2); left > 0; left--)
+        fleet_host_freeze (fleet_host (s.fleet, below (&s, HOSTS)),
+                           500 + (clk_ms)below (&s, 3500));
+      for (uint64_t left = 1 + below (&s, 3); left > 0; left--)
+        replace_primary (&s);
+      run_callers (&s, 3000, STEP_MS);
+      for (size_t i = 0; i < FLEET_INSTANCES; i++)
+        fleet_instance (s.fleet, i)->lag_ms = 8;
+    }
+  fleet_run (s.fleet, 4000);
+  check_guarantees (&s, seed);
+  fleet_free (s.fleet);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -586,6 +641,11 @@
   run_seeds (CUT_SEEDS, CUT_LENGTH, run_cut);
 }
 
+UNIT_PLAIN (test_guarantees_hold_while_hosts_stand_still)
+{
+  run_seeds (FROZEN_SEEDS, FROZEN_LENGTH, run_frozen);
+}
+
 UNIT_PLAIN (test_guarantees_hold_while_the_store_is_restored)
 {
   run_seeds (RESTORED_SEEDS, RESTORED_LENGTH, run_restored);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -10,12 +10,12 @@
   struct fleet_caller *caller
       = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_BOUNDED);
   int on_primary = 0;
-  for (int i = 0; i < 40; i++)
+  for (int i = 0; i < 400; i++)
     {
       ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
       on_primary += strcmp (fleet_caller_server (caller), "i-0") == 0;
     }
-  ck_assert_int_lt (on_primary, 4);
+  ck_assert_int_lt (on_primary, 40);
 }
 
 UNIT_TEST (test_a_session_reads_its_own_writes)
@@ -192,6 +192,100 @@
   ck_assert_int_eq (run (writer, STMT_READ, "a", NULL), CODE_OK);
 }
 
+/* Lets i-0 be replaced as the primary and then lead again, without having
+   applied a commit of the primary between, which it has received.  MISSES sees
+   none of that, and is then let go on by SEE.  */
+static void
+lead_again (struct fleet_host *misses,
+            void (*see) (struct fleet_host *host, bool sees))
+{
+  struct fleet_instance *first = fleet_instance (fleet, 0);
+  struct fleet_host *writes_at = fleet_host (fleet, 0);
+  struct fleet_caller *writer
+      = fleet_caller_open (writes_at, FLEET_DATABASE_PRIMARY);
+  ck_assert (misses != writes_at && misses != duty_holder ());
+  ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+  fleet_run (fleet, 300);
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    fleet_instance (fleet, i)->lag_ms = 4000;
+  see (misses, false);
+  first->unreachable = true;
+  write_gap_ms (writes_at);
+  struct fleet_instance *second = fleet_primary (fleet);
+  ck_assert (second != first);
+  first->unreachable = false;
+  fleet_run (fleet, 400);
+  ck_assert_int_eq (run (writer, STMT_WRITE, "a 2", NULL), CODE_OK);
+  fleet_instance (fleet, second == fleet_instance (fleet, 1) ? 2 : 1)
+      ->replication_stopped
+      = true;
+  ck_assert_int_eq (run (writer, STMT_WRITE, "a 3", NULL), CODE_OK);
+  fleet_run (fleet, 50);
+  second->unreachable = true;
+  while (fleet_primary (fleet) != first)
+    fleet_run (fleet, 5);
+  ck_assert_int_lt (position_compare (first->applied, first->received), 0);
+  see (misses, true);
+}
+
+/* Guards against STALE: the oracle reports a read that lacks a commit.  */
+static void
+read_of_all_kinds (struct fleet_host *host)
+{
+  static const char *const databases[]
+      = { FLEET_DATABASE_PRIMARY, FLEET_DATABASE_BOUNDED,
+          FLEET_DATABASE_SESSION };
+  for (int i = 0; i < 60; i++)
+    {
+      struct fleet_caller *reader = fleet_caller_open (host, databases[i % 3]);
+      run (reader, STMT_READ, "a", NULL);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%s",
+                     fleet_violation (fleet));
+      fleet_caller_close (reader);
+    }
+}
+
+static void
+freeze (struct fleet_host *host, bool sees)
+{
+  fleet_host_freeze (host, sees ? 0 : 60000);
+}
+
+static void
+cut_off (struct fleet_host *host, bool sees)
+{
+  host->peers_cut = host->store_cut = !sees;
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    host->instances_cut[i] = !sees;
+}
+
+/* Returns a host that does not hold the duty.  */
+static struct fleet_host *
+other_host (void)
+{
+  struct fleet_host *host = fleet_host (fleet, 1);
+  return host == duty_holder () ? fleet_host (fleet, 2) : host;
+}
+
+/* Guards against STALE: a host that stood still took a primary that leads
+   again for one that has applied its log.  */
+UNIT_TEST (test_a_host_that_stood_still_checks_the_log_of_a_primary_again)
+{
+  struct fleet_host *host = other_host ();
+  read_of_all_kinds (host);
+  lead_again (host, freeze);
+  read_of_all_kinds (host);
+}
+
+/* Guards against STALE: the same for a host that was cut off.  */
+UNIT_TEST (test_a_host_that_was_cut_off_checks_the_log_of_a_primary_again)
+{
+  struct fleet_host *host = other_host ();
+  read_of_all_kinds (host);
+  lead_again (host, cut_off);
+  read_of_all_kinds (host);
+}
+
 UNIT_TEST (test_the_instance_with_the_longest_log_is_promoted)
 {
   struct fleet_caller *caller
