A leaving host takes only what it can answer, and answers all of it

Cause: the host took statements until the moment in which it ended, and then freed the sessions with what ran in them.

Conclusion: a request that a leaving host has read gets its answer.

--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -147,6 +147,13 @@
   caller->tx = TX_IDLE;
 }
 
+bool
+caller_is_late (const struct caller *caller, clk_ms span_ms)
+{
+  clk_ms end_ms = caller->callers->end_ms;
+  return end_ms != CLK_NEVER && caller_now (caller) + span_ms > end_ms;
+}
+
 static void
 do_begin (struct caller *caller, bool read_only)
 {
@@ -164,6 +171,11 @@
       caller_finish_code (caller, CODE_NODB, caller->database);
       return;
     }
+  if (caller->callers->end_ms != CLK_NEVER)
+    {
+      caller_finish_code (caller, CODE_BUSY, "this host is leaving");
+      return;
+    }
   caller->tx = TX_OPEN;
   caller->tx_route = *route;
   caller->tx_read_only = read_only;
@@ -407,10 +419,34 @@
 static const struct module_ops callers_ops
     = { .start = callers_start, .free = callers_free };
 
+void
+callers_refuse_late (struct callers *callers, clk_ms end_ms)
+{
+  callers->end_ms = end_ms;
+}
+
+size_t
+callers_end_statements (struct callers *callers)
+{
+  struct caller *caller;
+  size_t ended = 0;
+  DL_FOREACH (callers->list, caller)
+  {
+    enum run_stage stage = caller->run.stage;
+    if (stage == RUN_SENT)
+      caller_fail_unknown (caller, CODE_INDOUBT, "this host ends");
+    else if (stage != RUN_NONE)
+      caller_fail (caller, caller_refusal (caller), "this host ends");
+    ended += stage != RUN_NONE;
+  }
+  return ended;
+}
+
 struct callers *
 callers_new (void)
 {
   struct callers *callers = mem_zalloc (sizeof *callers);
+  callers->end_ms = CLK_NEVER;
   callers->base.ops = &callers_ops;
   callers->base.name = "callers";
   return callers;
--- a/src/proxy/caller.h
+++ b/src/proxy/caller.h
@@ -74,6 +74,16 @@
    be called before this function returns.  */
 void caller_submit (struct caller *caller, const struct statement *statement);
 
+/* The process ends at END_MS.  Refuses from now on each statement whose
+   timeout ends later, so that those that are taken get their answers in time,
+   and each new transaction.  */
+void callers_refuse_late (struct callers *callers, clk_ms end_ms);
+
+/* Answers the statements that still run, since the process ends: with a
+   refusal if they were not sent to an instance or another host, otherwise with
+   a code that promises nothing.  Returns their number.  */
+size_t callers_end_statements (struct callers *callers);
+
 /* Closes the session and rolls back its transaction.  A statement that is
    running gets no answer.  */
 void caller_close (struct caller *caller);
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -107,6 +107,7 @@
   struct forwarder *forwarder;
   struct caller_metrics metrics;
   struct caller_metrics forwarded_metrics;
+  clk_ms end_ms; /* of the process, which leaves; CLK_NEVER: it does not */
   struct caller *list;
 };
 
@@ -163,6 +164,9 @@
 void caller_remote_stop (struct caller *caller);
 
 /* caller.c */
+/* Returns whether a statement that may take SPAN_MS from now can't be taken,
+   as the process ends before.  */
+bool caller_is_late (const struct caller *caller, clk_ms span_ms);
 /* Opens a session for forwarded statements of another host, on ROUTE.  */
 struct caller *caller_open_forwarded (struct callers *callers,
                                       const struct route *route,
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -748,6 +748,11 @@
       return;
     }
   run->route = *route;
+  if (caller_is_late (caller, route->timeout_ms))
+    {
+      caller_fail (caller, caller_refusal (caller), "this host is leaving");
+      return;
+    }
   caller_set_timer (caller, &caller->deadline_timer, route->timeout_ms);
   dispatch (caller);
 }
--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -11,6 +11,7 @@
        crash  closes the listener and all connections of the instance
        back   restarts a crashed instance on its old port
        drain  publishes the instance as draining
+       slow   takes 300 ms for each WRITE from now on
      POST /fault {"kind": KIND}
        copy     takes a copy of the store
        restore  restores the store from the copy: writes and leases since then
@@ -44,6 +45,7 @@
 #define KEY_LIMIT 256
 #define LEASE_LIMIT 256
 #define PROMOTION_DELAY_US 100000 /* from the call to the change of roles */
+#define SLOW_WRITE_US 300000
 #define GROUP "books"
 #define DATABASE "ledger"
 
@@ -86,6 +88,7 @@
   struct evconnlistener *listener;
   bool crashed;
   bool draining;
+  bool slow;
 };
 
 struct connection
@@ -94,6 +97,8 @@
   struct bufferevent *bev;
   char state; /* I: idle, T: in a transaction, E: transaction failed */
   bool plain;
+  char *delayed; /* line that is handled when DELAY has passed, or NULL */
+  struct event *delay;
   struct connection *prev;
   struct connection *next;
 };
@@ -490,7 +495,9 @@
 connection_close (struct connection *connection)
 {
   DL_DELETE (connections, connection);
+  event_free (connection->delay);
   bufferevent_free (connection->bev);
+  free (connection->delayed);
   free (connection);
 }
 
@@ -510,19 +517,47 @@
     }
 }
 
+/* Keeps LINE for later if it is a write to a slow instance.  */
+static bool
+delay_line (struct connection *connection, const char *line)
+{
+  static const struct timeval span = { .tv_usec = SLOW_WRITE_US };
+  if (!connection->instance->slow || strstr (line, " WRITE ") == NULL)
+    return false;
+  connection->delayed = mem_strdup (line);
+  evtimer_add (connection->delay, &span);
+  return true;
+}
+
 static void
 on_read (struct bufferevent *bev, void *arg)
 {
+  struct connection *connection = arg;
   char *line;
-  while ((line = evbuffer_readln (bufferevent_get_input (bev), NULL,
-                                  EVBUFFER_EOL_CRLF_STRICT))
-         != NULL)
+  while (connection->delayed == NULL
+         && (line = evbuffer_readln (bufferevent_get_input (bev), NULL,
+                                     EVBUFFER_EOL_CRLF_STRICT))
+                != NULL)
     {
-      handle_line (arg, line);
+      if (!delay_line (connection, line))
+        handle_line (connection, line);
       free (line);
     }
 }
 
+static void
+on_delay (evutil_socket_t fd, short what, void *arg)
+{
+  struct connection *connection = arg;
+  char *line = connection->delayed;
+  (void)fd;
+  (void)what;
+  connection->delayed = NULL;
+  handle_line (connection, line);
+  free (line);
+  on_read (connection->bev, connection);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -542,6 +577,7 @@
   connection->instance = arg;
   connection->state = 'I';
   connection->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->delay = evtimer_new (base, on_delay, connection);
   DL_APPEND (connections, connection);
   bufferevent_setcb (connection->bev, on_read, NULL, on_event, connection);
   bufferevent_enable (connection->bev, EV_READ | EV_WRITE);
@@ -675,6 +711,8 @@
       instance->crashed = false;
       start_instance (instance, instance->port);
     }
+  else if (strcmp (kind, "slow") == 0)
+    instance->slow = true;
   else if (strcmp (kind, "drain") == 0)
     {
       instance->draining = true;
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -874,6 +874,60 @@
     }
 }
 
+/* Guards against LOST: a host that leaves took statements whose answer it
+   could not wait for.  The configured timeout is 1,000 ms.  */
+UNIT_TEST (test_a_host_that_leaves_takes_only_what_it_can_answer)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *open = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *single
+      = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (open, STMT_BEGIN, NULL, NULL), CODE_OK);
+  ck_assert_int_eq (run (open, STMT_WRITE, "a 1", NULL), CODE_OK);
+  callers_refuse_late (host->callers, fleet_now (fleet) + 1100);
+  ck_assert_int_eq (run (single, STMT_WRITE, "a 1", NULL), CODE_OK);
+  ck_assert_int_eq (run (single, STMT_BEGIN, NULL, NULL), CODE_BUSY);
+  fleet_run (fleet, 200);
+  ck_assert_int_eq (run (single, STMT_WRITE, "a 1", NULL), CODE_BUSY);
+  ck_assert_int_eq (fleet_caller_state (single), TX_IDLE);
+  ck_assert_int_eq (run (open, STMT_COMMIT, NULL, NULL), CODE_ABORTED);
+  ck_assert_int_eq (fleet_caller_state (open), TX_IDLE);
+}
+
+/* Guards against LOST: statements that ran when the process ended got no
+   answer.  The oracle checks that none is refused that has run.  */
+UNIT_TEST (test_a_host_that_ends_answers_every_statement)
+{
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *callers[30];
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    fleet_instance (fleet, i)->slow_ms = 900;
+  for (size_t i = 0; i < 30; i++)
+    {
+      callers[i] = fleet_caller_open (host, i % 3 ? FLEET_DATABASE_PRIMARY
+                                                  : FLEET_DATABASE_SESSION);
+      fleet_caller_send (callers[i], i % 2 ? STMT_WRITE : STMT_READ, "a 1",
+                         NULL);
+    }
+  fleet_run (fleet, 60);
+  size_t waiting = 0, unknown = 0, refused = 0;
+  for (size_t i = 0; i < 30; i++)
+    waiting += fleet_caller_waits (callers[i]);
+  ck_assert_uint_gt (waiting, 10);
+  ck_assert_uint_eq (callers_end_statements (host->callers), waiting);
+  for (size_t i = 0; i < 30; i++)
+    {
+      enum code code = fleet_caller_code (callers[i]);
+      ck_assert (!fleet_caller_waits (callers[i]));
+      ck_assert (i % 2 == 0 || code != CODE_TIMEOUT);
+      unknown += code == CODE_INDOUBT;
+      refused += code == CODE_BUSY;
+    }
+  ck_assert_uint_gt (unknown, 0);
+  ck_assert_uint_gt (refused, 0);
+  fleet_run (fleet, 2000);
+}
+
 /* Guards against UNASKED and ROUTE: an entry of another writer, whose service
    no configuration names, was used as an instance.  Its address is that of the
    primary.  */
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -317,4 +317,62 @@
   close (fd);
 }
 
+/* Sessions of callers that come while the host leaves, each with one write. */
+#define VISIT_INTERVAL_MS 15
+#define VISIT_LIMIT 400
+
+/* Opens a session and sends it a write.  Returns false once the host takes no
+   connection.  FD is -1 if it closed the session before.  */
+static bool
+visit (int *fd)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (callers),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  *fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool taken = connect (*fd, (struct sockaddr *)&address, sizeof address) == 0;
+  if (taken && send (*fd, "STARTUP ledger u1\r\n", 19, MSG_NOSIGNAL) == 19
+      && strncmp (read_until (*fd, "READY"), "READY I", 7) == 0
+      && send (*fd, "QUERY v WRITE 1 a\r\n", 19, MSG_NOSIGNAL) == 19)
+    return true;
+  close (*fd);
+  *fd = -1;
+  return taken;
+}
+
+/* Guards against LOST: a host that leaves took requests up to the moment in
+   which it ended, and those that then ran got no answer.  */
+UNIT_TEST (test_requests_that_arrive_while_a_host_leaves_are_answered)
+{
+  int visits[VISIT_LIMIT];
+  size_t count = 0, served = 0, taken = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      char *fault = mem_printf ("{\"instance\":%d,\"kind\":\"slow\"}", i);
+      inject_fault (fault);
+      free (fault);
+    }
+  kill (host, SIGTERM);
+  while (count < VISIT_LIMIT && visit (&visits[count]))
+    {
+      count++;
+      usleep (VISIT_INTERVAL_MS * 1000);
+    }
+  ck_assert_uint_lt (count, VISIT_LIMIT);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (visits[i] < 0)
+        continue;
+      const char *answer = read_until (visits[i], "READY");
+      taken++;
+      served += strncmp (answer, "COMPLETE", 8) == 0;
+      ck_assert_msg (strstr (answer, "READY") != NULL,
+                     "request %zu of %zu: \"%s\"", i, count, answer);
+      close (visits[i]);
+    }
+  /* No session is closed before its first request.  */
+  ck_assert_uint_ge (taken + 1, count);
+  ck_assert_uint_gt (served, 0);
+}
+
 UNIT_MAIN ("serve", .setup = set_up, .teardown = tear_down, .timeout_s = 60)
