A failover goes on only once all replicas show that they are paused

Cause: PAUSE took the term of this host's newest sample plus one. A holder of the duty that had just started, out of reach of the primary, has no sample and sent PAUSE 1, which has no effect; the rows tell so, and nothing read that.

Evidence: the new test in test_proxy failed with "LOST: the instance that was promoted lacks 2.71, which was acknowledged".

Change: the term is above all that samples and instances have told, a row counts only if the pause holds, and PAUSE is repeated with a higher term. STEPDOWN of a hand-over takes its term likewise.

Conclusion: a promotion loses no commit that waits for a replica.

--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -54,13 +54,16 @@
   clk_ms unreachable_since_ms; /* for the holder of the duty, or CLK_NEVER */
   clk_ms partly_cut_since_ms;  /* for two thirds of the hosts, or CLK_NEVER */
   uint64_t token;
-  bool ordered;        /* recorded, and the new primary not seen yet */
-  uint64_t led_term;   /* of the last new primary; a lower bound */
-  bool confirmed;      /* CHOSEN leads, and not by an earlier order */
-  uint64_t floor;      /* lowest possible term of the new primary */
-  clk_ms accepted_ms;  /* when the order was accepted, or CLK_NEVER */
-  uint64_t number;     /* of the last order */
-  uint64_t read_token; /* of this holder, when it read the record */
+  bool ordered;         /* recorded, and the new primary not seen yet */
+  uint64_t led_term;    /* of the last new primary; a lower bound */
+  uint64_t newest_term; /* that an instance has reported; a lower bound */
+  uint64_t pause_term;  /* of the last PAUSE */
+  unsigned pauses;      /* sent since the start of the change */
+  bool confirmed;       /* CHOSEN leads, and not by an earlier order */
+  uint64_t floor;       /* lowest possible term of the new primary */
+  clk_ms accepted_ms;   /* when the order was accepted, or CLK_NEVER */
+  uint64_t number;      /* of the last order */
+  uint64_t read_token;  /* of this holder, when it read the record */
   struct floating floating[ROSTER_FLOATING];
   clk_ms closed_ms; /* when the group was found closed, or CLK_NEVER */
   struct status_query *query;
@@ -263,14 +266,11 @@
   return NULL;
 }
 
-/* Sets the lowest term in which CHOSEN can lead by the next order: the one
-   after its own.  If its state is not known, the one after all known terms. */
-static void
-set_floor (struct change *change, const struct group *group,
-           const struct status_row *chosen, const struct status_row *rows,
-           size_t count)
+/* Returns the newest term that an instance has reported.  */
+static uint64_t
+newest_reported (const struct status_row *rows, size_t count)
 {
-  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t newest = 0;
   for (size_t i = 0; i < count; i++)
     {
       const struct instance_status *status = &rows[i].status;
@@ -279,6 +279,20 @@
       if (rows[i].answered && status->received.term > newest)
         newest = status->received.term;
     }
+  return newest;
+}
+
+/* Sets the lowest term in which CHOSEN can lead by the next order: the one
+   after its own.  If its state is not known, the one after all known terms. */
+static void
+set_floor (struct change *change, const struct group *group,
+           const struct status_row *chosen, const struct status_row *rows,
+           size_t count)
+{
+  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t reported = newest_reported (rows, count);
+  if (reported > newest)
+    newest = reported;
   change->floor = (chosen->status.term > 0 ? chosen->status.term : newest) + 1;
 }
 
@@ -298,6 +312,49 @@
   return best;
 }
 
+/* Notes the terms that the instances have reported.  */
+static void
+note_terms (struct change *change, const struct status_row *rows, size_t count)
+{
+  uint64_t newest = newest_reported (rows, count);
+  if (newest > change->newest_term)
+    change->newest_term = newest;
+}
+
+/* Returns a term above all that are known.  A host that has just started, or
+   could not reach the primary, has no recent sample.  */
+static uint64_t
+next_term (const struct change *change, const struct group *group)
+{
+  uint64_t newest = samples_newest (group_samples (group)).term;
+  return (newest > change->newest_term ? newest : change->newest_term) + 1;
+}
+
+/* Returns whether a failover of GROUP pauses the replicas: otherwise commits
+   could be acknowledged that the chosen one does not receive.  */
+static bool
+needs_pause (const struct change *change, const struct group *group)
+{
+  return !change->hand_over && group_settings (group)->sync_replicas > 0;
+}
+
+/* Returns whether no replica receives the log any more.  PAUSE has no effect
+   if its term is not above the newest one, and the row then tells so.  */
+static bool
+all_paused (const struct change *change, const struct status_row *rows,
+            size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct instance_status *status = &rows[i].status;
+      if (!status->is_primary
+          && (status->held_term < change->pause_term
+              || status->term >= change->pause_term))
+        return false;
+    }
+  return true;
+}
+
 static size_t
 count_answers (const struct status_row *rows, size_t count)
 {
@@ -321,6 +378,20 @@
          && now_ms (change) - change->first_attempt_ms < PROMOTER_OLD_TERM_MS;
 }
 
+/* Handles a PAUSE without an effect on some replica, whose term was too low.
+   The rows may have told a higher one.  */
+static void
+pause_again (struct change *change)
+{
+  log_change (change, "pause_ineffective", "a replica goes on to receive");
+  if (change->newest_term < change->pause_term)
+    change->newest_term = change->pause_term;
+  if (change->pauses < PROMOTER_PAUSE_LIMIT)
+    query_positions (change);
+  else
+    abort_change (change, "a replica could not be paused", PROMOTER_RETRY_MS);
+}
+
 static void
 on_positions (void *arg, const struct status_row *rows, size_t count)
 {
@@ -334,16 +405,22 @@
       abort_change (change, "no instance answers", PROMOTER_RETRY_MS);
       return;
     }
+  note_terms (change, rows, count);
   /* With synchronous replicas, an instance that did not answer may be the only
      one with an acknowledged commit.  */
-  if (!change->hand_over && group_settings (group)->sync_replicas > 0
-      && count_answers (rows, count) < count)
+  if (needs_pause (change, group) && count_answers (rows, count) < count)
     {
       abort_change (change,
                     "an instance that may have more commits does not answer",
                     PROMOTER_RETRY_MS);
       return;
     }
+  if (needs_pause (change, group) && !all_paused (change, rows, count)
+      && !MUTANT (trust_pause))
+    {
+      pause_again (change);
+      return;
+    }
   if (change->hand_over
       && position_compare (best->status.received, change->final) < 0)
     {
@@ -374,8 +451,7 @@
 {
   struct backend *all[GROUP_INSTANCES];
   size_t count = group_instances (group, all), used = 0;
-  bool query_all
-      = !change->hand_over && group_settings (group)->sync_replicas > 0;
+  bool query_all = needs_pause (change, group);
   for (size_t i = 0; i < count; i++)
     {
       const struct instance_entry *entry = backend_entry (all[i]);
@@ -401,12 +477,13 @@
       abort_change (change, "no candidate for promotion", PROMOTER_RETRY_MS);
       return;
     }
-  bool pause = !change->hand_over && group_settings (group)->sync_replicas > 0;
-  uint64_t term = samples_newest (group_samples (group)).term + 1;
+  bool pause = needs_pause (change, group);
+  change->pause_term = next_term (change, group);
+  change->pauses += pause;
   change->query = status_query_new (
       promoter->base.kernel, promoter->options.parse_status, count, candidates,
-      pause ? STMT_PAUSE : STMT_STATUS, term, PROMOTER_QUERY_TIMEOUT_MS,
-      on_positions, change);
+      pause ? STMT_PAUSE : STMT_STATUS, change->pause_term,
+      PROMOTER_QUERY_TIMEOUT_MS, on_positions, change);
 }
 
 static void
@@ -432,7 +509,7 @@
 {
   struct promoter *promoter = change->promoter;
   struct backend *old = group_leader (group);
-  uint64_t term = samples_newest (group_samples (group)).term + 1;
+  uint64_t term = next_term (change, group);
   if (old == NULL || strcmp (backend_entry (old)->id, change->old) != 0)
     {
       abort_change (change, "the primary has changed", 0);
@@ -456,6 +533,7 @@
   struct group *group = group_of (change);
   const struct status_row *best = most_advanced (rows, count);
   change->query = NULL;
+  note_terms (change, rows, count);
   if (group == NULL || best == NULL
       || position_compare (best->status.received, change->reached) < 0)
     {
@@ -509,6 +587,7 @@
   change->started_ms = now_ms (change);
   change->chosen[0] = '\0';
   change->final = (struct position){ 0 };
+  change->pauses = 0;
   if (change->first_attempt_ms == CLK_NEVER)
     change->first_attempt_ms = now_ms (change);
   text_copy (change->old, sizeof change->old,
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -76,6 +76,10 @@
    take effect before it is ordered again.  */
 #define PROMOTER_PENDING_MS 800
 
+/* Number of PAUSEs of one change, each with a higher term, before it is given
+   up.  */
+#define PROMOTER_PAUSE_LIMIT 3
+
 /* Delay before the retry of a change that failed.  */
 #define PROMOTER_RETRY_MS 200
 
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -87,6 +87,8 @@
   clk_ms gone_ms;           /* its entry was removed then, or CLK_NEVER */
   bool unreachable;         /* answers nothing, not even connects */
   bool replication_stopped; /* receives no log from the primary */
+  bool paused;              /* the same, by PAUSE, until a promotion */
+  uint64_t held_term;       /* of the PAUSE that had an effect last */
   bool isolated;            /* can't reach the other instances */
   clk_ms outdated_ms;       /* until when a replaced primary goes on, since it
                                reaches the new one; or CLK_NEVER */
@@ -151,6 +153,8 @@
 {
   uint32_t connections; /* limit of an instance */
   bool unfenced;
+  uint32_t sync_replicas; /* 1: a commit is acknowledged once another instance
+                             has received it */
 };
 
 struct fleet *fleet_new_with (uint64_t seed, size_t hosts,
@@ -281,6 +285,7 @@
   uint32_t connections; /* configured connection limit of an instance */
   bool unfenced; /* the platform checks no fencing token, and an old primary
                     goes on */
+  uint32_t sync_replicas;
   uint64_t lead_term;            /* of the last promotion that took effect */
   struct position lead_start;    /* where the log of that term begins */
   uint32_t promote_lost_percent; /* of the orders, not answered; they take
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -82,6 +82,7 @@
   struct answer answer; /* in flight */
   char body[BODY_BYTES];
   bool lose_answer;
+  bool unacknowledged; /* too few instances have received the commit */
 };
 
 static bool
@@ -217,21 +218,23 @@
   free (step);
 }
 
-static void
+/* Returns whether REPLICA receives the log up to POSITION.  */
+static bool
 receive (struct fleet_instance *replica, struct position position)
 {
   struct replication *step = mem_zalloc (sizeof *step);
-  if (replica->replication_stopped || replica->unreachable || replica->isolated
-      || position.term < replica->term)
+  if (replica->replication_stopped || replica->paused || replica->unreachable
+      || replica->isolated || position.term < replica->term)
     {
       free (step);
-      return;
+      return false;
     }
   replica->received = position;
   if (position.term > replica->term)
     replica->term = position.term;
   *step = (struct replication){ replica, position };
   fleet_schedule (replica->fleet, replica->lag_ms, apply, step);
+  return true;
 }
 
 static void demote (struct fleet_instance *instance);
@@ -271,7 +274,8 @@
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     {
       struct fleet_instance *instance = &fleet->instances[i];
-      bool stopped = instance->replication_stopped || instance->isolated;
+      bool stopped = instance->replication_stopped || instance->isolated
+                     || instance->paused;
       bool resumes = instance->was_stopped && !stopped && !instance->is_primary
                      && primary != NULL && !primary->isolated;
       if (resumes && primary->unapplied_term == 0
@@ -311,6 +315,7 @@
   primary->applied.lsn++;
   primary->applied.term = primary->term;
   primary->received = primary->applied;
+  uint32_t received = 0;
   for (size_t i = 0; i < FLEET_INSTANCES; i++)
     {
       struct fleet_instance *other = &link->fleet->instances[i];
@@ -319,8 +324,9 @@
       if (primary->isolated)
         other->was_stopped = true;
       else
-        receive (other, primary->applied);
+        received += receive (other, primary->applied);
     }
+  link->unacknowledged = received < link->fleet->sync_replicas;
   return primary->applied;
 }
 
@@ -357,7 +363,8 @@
             text, link->instance->id, sent->id);
   link->answer.body = link->body;
   link->answer.body_bytes = strlen (link->body);
-  link->lose_answer = chance (link, link->instance->lost_percent);
+  link->lose_answer
+      = chance (link, link->instance->lost_percent) || link->unacknowledged;
 }
 
 static void
@@ -440,7 +447,8 @@
     oracle_committed (link->fleet, link->serial, link->tx, sent->id,
                       commit_position (link));
   link->state = TX_IDLE;
-  link->lose_answer = chance (link, link->instance->lost_percent);
+  link->lose_answer
+      = chance (link, link->instance->lost_percent) || link->unacknowledged;
   snprintf (link->body, sizeof link->body, "COMPLETE %s.%s\r\n",
             link->instance->id, sent->id);
   link->answer.body = link->body;
@@ -475,14 +483,25 @@
     demote (link->instance);
 }
 
+static void
+do_pause (struct instance_link *link, const struct queued_statement *sent)
+{
+  struct fleet_instance *instance = link->instance;
+  if (instance->is_primary || sent->term <= link->fleet->lead_term)
+    return;
+  instance->paused = true;
+  instance->held_term = sent->term;
+}
+
 static void
 answer_status (struct instance_link *link)
 {
   const struct fleet_instance *instance = link->instance;
   snprintf (link->body, sizeof link->body,
-            "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 0\r\n",
+            "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " %" PRIu64 " 0 0 0\r\n",
             instance->is_primary ? "primary" : "replica", instance->term,
-            instance->received.term, instance->received.lsn);
+            instance->received.term, instance->received.lsn,
+            instance->held_term);
   link->answer.body = link->body;
   link->answer.body_bytes = strlen (link->body);
 }
@@ -523,7 +542,7 @@
     }
   check_drained (link, sent);
   link->answer = (struct answer){ .code = CODE_OK, .has_position = true };
-  link->lose_answer = false;
+  link->lose_answer = link->unacknowledged = false;
   if (link->state == TX_OPEN && link->read_write
       && !link->instance->is_primary)
     link->demoted = true;
@@ -554,9 +573,15 @@
       do_stepdown (link, sent);
       answer_status (link);
       break;
-    case STMT_STATUS:
     case STMT_PAUSE:
+      do_pause (link, sent);
+      answer_status (link);
+      break;
     case STMT_RESUME:
+      link->instance->paused = false;
+      answer_status (link);
+      break;
+    case STMT_STATUS:
       answer_status (link);
       break;
     default:
@@ -783,7 +808,10 @@
       else
         apply_received (candidate);
       for (size_t i = 0; i < FLEET_INSTANCES; i++)
-        follow (&fleet->instances[i], candidate, start);
+        {
+          fleet->instances[i].paused = false;
+          follow (&fleet->instances[i], candidate, start);
+        }
       fleet->promotions++;
       fleet_publish (fleet);
     }
@@ -865,9 +893,11 @@
   if (answer->code != CODE_OK || answer->body == NULL)
     return false;
   *status = (struct instance_status){ 0 };
-  if (sscanf (answer->body, "ROW %15s %" SCNu64 " %" SCNu64 ".%" SCNu64, role,
-              &status->term, &status->received.term, &status->received.lsn)
-      != 4)
+  if (sscanf (answer->body,
+              "ROW %15s %" SCNu64 " %" SCNu64 ".%" SCNu64 " %" SCNu64, role,
+              &status->term, &status->received.term, &status->received.lsn,
+              &status->held_term)
+      != 5)
     return false;
   status->is_primary = strcmp (role, "primary") == 0;
   return true;
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -280,6 +280,19 @@
   record_commit (fleet, commit_id, position);
 }
 
+/* Reports that an acknowledged commit at POSITION is discarded, where commits
+   wait for another instance.  */
+static void
+check_kept (struct fleet *fleet, struct position position)
+{
+  if (fleet->sync_replicas > 0)
+    fleet_report_violation (fleet,
+                            "LOST: the instance that was promoted lacks "
+                            "%llu.%llu, which was acknowledged",
+                            (unsigned long long)position.term,
+                            (unsigned long long)position.lsn);
+}
+
 void
 oracle_rolled_back (struct fleet *fleet, struct position beyond,
                     uint64_t new_term)
@@ -289,7 +302,11 @@
   (void)new_term;
   for (size_t i = 0; i < oracle->ack_count; i++)
     if (oracle->acks[i].position.lsn > beyond.lsn)
-      oracle->acks[i].rolled_back = true;
+      {
+        if (!oracle->acks[i].rolled_back)
+          check_kept (fleet, oracle->acks[i].position);
+        oracle->acks[i].rolled_back = true;
+      }
   HASH_ITER (hh, oracle->commits, commit, next)
   if (commit->position.lsn > beyond.lsn)
     commit->rolled_back = true;
@@ -339,6 +356,8 @@
                             caller->id,
                             (unsigned long long)commit->position.term,
                             (unsigned long long)commit->position.lsn);
+  if (commit->rolled_back)
+    check_kept (caller->host->fleet, commit->position);
   oracle->acks[oracle->ack_count++] = (struct acknowledged){
     .position = commit->position,
     .at_ms = fleet_now (caller->host->fleet),
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -177,7 +177,8 @@
       snprintf (name, sizeof name, i == 0 ? FLEET_GROUP : "group-%d", i);
       json_array_append_new (
           groups, json_pack ("{s:s, s:i, s:i}", "name", name, "max_conns",
-                             (int)fleet->connections, "sync_replicas", 0));
+                             (int)fleet->connections, "sync_replicas",
+                             (int)fleet->sync_replicas));
     }
   json_t *config = json_pack (
       "{s:I, s:o, s:o, s:{s:i}}", "version", (json_int_t)fleet->config_version,
@@ -411,6 +412,7 @@
   struct fleet *fleet = mem_zalloc (sizeof *fleet);
   uint32_t connections = options->connections;
   fleet->unfenced = options->unfenced;
+  fleet->sync_replicas = options->sync_replicas;
   fleet->lead_term = 1;
   clk_virtual_init (&fleet->clk, START_MS);
   rng_init (&fleet->rng, seed);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -552,6 +552,78 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which commits wait for another instance, primaries are cut off
+   from failure domains, and the holder of the duty restarts meanwhile.  */
+#define SYNC_SEEDS 40
+#define SYNC_LENGTH 5
+#define SYNC_ROUNDS 5
+
+/* Lets one of the replicas at a time receive the log, by turns, for
+   SPAN_MS.  */
+static void
+run_in_turns (struct schedule *s, clk_ms span_ms)
+{
+  clk_ms until_ms = fleet_now (s->fleet) + span_ms;
+  while (fleet_now (s->fleet) < until_ms && fleet_violation (s->fleet) == NULL)
+    {
+      size_t stopped = below (s, FLEET_INSTANCES);
+      for (size_t i = 0; i < FLEET_INSTANCES; i++)
+        fleet_instance (s->fleet, i)->replication_stopped = i == stopped;
+      run_callers (s, 30 + (clk_ms)below (s, 200), STEP_MS);
+    }
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    fleet_instance (s->fleet, i)->replication_stopped = false;
+}
+
+static void
+restart_holder (struct schedule *s)
+{
+  uint64_t token;
+  for (size_t i = 0; i < s->fleet->host_count; i++)
+    {
+      struct fleet_host *host = fleet_host (s->fleet, i);
+      if (!roster_holds_duty (host->roster, &token))
+        continue;
+      kill_host (s, host);
+      fleet_host_start (host);
+      return;
+    }
+}
+
+static void
+run_sync (uint64_t seed)
+{
+  struct schedule s
+      = { .fleet = fleet_new_with (
+              seed, 2 * FLEET_ZONES,
+              &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                                       .sync_replicas = 1 }),
+          .restarts = true };
+  rng_init (&s.rng, seed + 6000000);
+  fleet_run (s.fleet, 5000);
+  for (int round = 0; round < SYNC_ROUNDS; round++)
+    {
+      struct fleet_instance *primary = fleet_primary (s.fleet);
+      size_t keep = below (&s, FLEET_ZONES);
+      run_in_turns (&s, 1000);
+      if (primary == NULL)
+        primary = fleet_instance (s.fleet, below (&s, FLEET_INSTANCES));
+      for (size_t i = 0; i < s.fleet->host_count; i++)
+        fleet_host (s.fleet, i)->instances_cut[primary - s.fleet->instances]
+            = i % FLEET_ZONES != keep;
+      if (below (&s, 4) > 0)
+        restart_holder (&s);
+      run_in_turns (&s, 2000 + (clk_ms)below (&s, 2000));
+      for (size_t i = 0; i < s.fleet->host_count; i++)
+        memset (fleet_host (s.fleet, i)->instances_cut, 0,
+                sizeof fleet_host (s.fleet, i)->instances_cut);
+      run_in_turns (&s, 1500);
+    }
+  ck_assert_msg (fleet_violation (s.fleet) == NULL, "seed %llu: %s",
+                 (unsigned long long)seed, fleet_violation (s.fleet));
+  fleet_free (s.fleet);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -646,6 +718,11 @@
   run_seeds (FROZEN_SEEDS, FROZEN_LENGTH, run_frozen);
 }
 
+UNIT_PLAIN (test_no_acknowledged_commit_is_lost_where_commits_wait)
+{
+  run_seeds (SYNC_SEEDS, SYNC_LENGTH, run_sync);
+}
+
 UNIT_PLAIN (test_guarantees_hold_while_the_store_is_restored)
 {
   run_seeds (RESTORED_SEEDS, RESTORED_LENGTH, run_restored);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -286,6 +286,65 @@
   read_of_all_kinds (host);
 }
 
+/* Cuts PRIMARY off from two of the three failure domains, among them that of
+   the holder of the duty, and restarts the holder.  Returns a host of the
+   third.  */
+static struct fleet_host *
+cut_and_restart_holder (size_t primary)
+{
+  struct fleet_host *holder = duty_holder (), *kept = NULL;
+  size_t keep = ((size_t)(holder - fleet->hosts) + 1) % FLEET_ZONES;
+  for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
+    if (i % FLEET_ZONES == keep)
+      kept = fleet_host (fleet, i);
+    else
+      fleet_host (fleet, i)->instances_cut[primary] = true;
+  fleet_host_kill (holder);
+  fleet_host_start (holder);
+  return kept;
+}
+
+/* Guards against LOST: a holder of the duty that had just started sent PAUSE
+   with a term that had no effect, and promoted an instance that lacked commits
+   which the other one went on to acknowledge.  */
+UNIT_TEST (test_no_acknowledged_commit_is_lost_by_a_holder_that_just_started)
+{
+  fleet_free (fleet);
+  fleet = fleet_new_with (
+      7, FLEET_DEFAULT_HOSTS,
+      &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                               .sync_replicas = 1 });
+  fleet_run (fleet, SETTLE_MS);
+  /* The second term.  */
+  fleet_instance (fleet, 0)->draining = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, 3000);
+  fleet_instance (fleet, 0)->draining = false;
+  fleet_publish (fleet);
+  fleet_run (fleet, 1000);
+  ck_assert_uint_eq (fleet_promotions (fleet), 1);
+  size_t primary = (size_t)(fleet_primary (fleet) - fleet->instances);
+  struct fleet_instance *one
+      = fleet_instance (fleet, (primary + 1) % FLEET_INSTANCES);
+  struct fleet_instance *other
+      = fleet_instance (fleet, (primary + 2) % FLEET_INSTANCES);
+  struct fleet_caller *writer = fleet_caller_open (
+      cut_and_restart_holder (primary), FLEET_DATABASE_PRIMARY);
+  clk_ms until_ms = fleet_now (fleet) + 8000;
+  for (int i = 0; fleet_now (fleet) < until_ms; i++)
+    {
+      /* They receive the log in turns.  */
+      one->replication_stopped = i % 20 < 10;
+      other->replication_stopped = i % 20 >= 10;
+      if (!fleet_caller_waits (writer))
+        fleet_caller_send (writer, STMT_WRITE, "a 1", NULL);
+      fleet_run (fleet, 10);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%s",
+                     fleet_violation (fleet));
+    }
+  ck_assert_uint_gt (fleet_promotions (fleet), 1);
+}
+
 UNIT_TEST (test_the_instance_with_the_longest_log_is_promoted)
 {
   struct fleet_caller *caller
