The schedules with waiting commits use the default number of hosts

Cause: clang-tidy reports the multiplication of two int constants as a widening conversion. Change: FLEET_DEFAULT_HOSTS, which is the same six. Conclusion: lint passes on the file; the schedules are as before.

--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -595,7 +595,7 @@
 {
   struct schedule s
       = { .fleet = fleet_new_with (
-              seed, 2 * FLEET_ZONES,
+              seed, FLEET_DEFAULT_HOSTS,
               &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
                                        .sync_replicas = 1 }),
           .restarts = true };
