--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -268,6 +268,21 @@
   stop_host ();
 }
 
+/* Guards against a host that is killed by a second signal while it frees what
+   it holds, after its signal handlers are gone.  */
+UNIT_PLAIN (test_a_host_that_ends_is_not_killed_by_another_signal)
+{
+  unsigned unused_port = free_port ();
+  int status;
+  start_host (unused_port, unused_port);
+  kill (host, SIGTERM);
+  usleep (2200000); /* a host without sessions ends 2.3 s after SIGTERM */
+  while (waitpid (host, &status, WNOHANG) == 0)
+    kill (host, SIGTERM);
+  fclose (host_log);
+  ck_assert_int_eq (status, 0);
+}
+
 /* Reads the host's log up to a line that contains all of WORDS.  */
 static void
 await_log (const char *const words[], size_t count)
