Logs and metrics tell how recent a host's contents of the store are

A host that refuses a request for its route, or runs it as an older version allows, showed neither when it last heard from the store nor from whom, so the hypotheses of the incident could not be told apart.

no_route: the version in force, the revision read last, the time since the contents were confirmed, and by whom. No decision changes.

--- a/src/cli/http_proxy_report.c
+++ b/src/cli/http_proxy_report.c
@@ -11,6 +11,7 @@
 #include "cli/proxy_report.h"
 #include "kernel/mem.h"
 #include "proxy/catalog.h"
+#include "proxy/mirror.h"
 
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
@@ -41,6 +42,7 @@
   struct kernel *kernel = http->options.kernel;
   struct metrics *metrics = kernel_metrics (kernel);
   struct catalog *catalog = (struct catalog *)kernel_find (kernel, "catalog");
+  struct mirror *mirror = (struct mirror *)kernel_find (kernel, "mirror");
   size_t sessions;
   bool ready, leaving;
   http->options.state (http->options.arg, &sessions, &ready, &leaving);
@@ -48,6 +50,8 @@
   *metrics_value (metrics, "ready") = ready;
   *metrics_value (metrics, "config_version")
       = (int64_t)catalog_config (catalog)->version;
+  *metrics_value (metrics, "store_heard_age_ms")
+      = mirror_state (mirror).heard_ms_ago;
   *metrics_value (metrics, "resident_bytes") = ops_report_resident_bytes ();
   http_server_reply (http->options.server, request, 200, METRICS_TYPE,
                      metrics_print (metrics));
--- a/src/cli/proxy_report.c
+++ b/src/cli/proxy_report.c
@@ -31,20 +31,22 @@
   struct mirror *mirror = (struct mirror *)kernel_find (kernel, "mirror");
   struct roster *roster = (struct roster *)kernel_find (kernel, "roster");
   const struct catalog_config *config = catalog_config (catalog);
+  struct mirror_state state = mirror_state (mirror);
   uint64_t token = 0;
   size_t others;
   hosts_list (hosts, &others);
   bool has_duty = roster_holds_duty (roster, &token);
-  json_t *report
-      = json_pack ("{s:I, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I}",
-                   "config_version", (json_int_t)config->version, "databases",
-                   (json_int_t)config->route_count, "groups",
-                   (json_int_t)config->group_count, "hosts",
-                   (json_int_t)others + 1, "forwarded_here",
-                   (json_int_t)forwarded_sessions_count (forwarded_sessions),
-                   "store_reached", (int)mirror_store_reachable (mirror),
-                   "cut_off", (int)groups_cut_off (groups), "holds_duty",
-                   (int)has_duty, "token", (json_int_t)token);
+  json_t *report = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:b, s:I, s:s, s:b, s:b, s:I}",
+      "config_version", (json_int_t)config->version, "databases",
+      (json_int_t)config->route_count, "groups",
+      (json_int_t)config->group_count, "hosts", (json_int_t)others + 1,
+      "forwarded_here",
+      (json_int_t)forwarded_sessions_count (forwarded_sessions),
+      "store_reached", (int)mirror_store_reachable (mirror),
+      "store_heard_ms_ago", (json_int_t)state.heard_ms_ago, "store_heard_from",
+      state.heard_from, "cut_off", (int)groups_cut_off (groups), "holds_duty",
+      (int)has_duty, "token", (json_int_t)token);
   json_object_update_new (status, report);
 }
 
--- a/src/proxy/caller.c
+++ b/src/proxy/caller.c
@@ -40,13 +40,14 @@
   bool ok = answer->code == CODE_OK;
   if (ok && run->attempts <= 1)
     return; /* counted by the metrics only */
-  log_event (kernel_log (kernel), LOG_INFO, "answer", LOG_S ("id", run->id),
-             LOG_S ("database", caller->database),
-             LOG_S ("code", code_name (answer->code)),
-             LOG_S ("why", answer->text), LOG_S ("instance", run->instance),
-             LOG_U ("attempts", run->attempts),
-             LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms),
-             LOG_U ("writes", run->writes), LOG_U ("tx", caller->tx));
+  log_event (
+      kernel_log (kernel), LOG_INFO, "answer", LOG_S ("id", run->id),
+      LOG_S ("database", caller->database),
+      LOG_S ("code", code_name (answer->code)), LOG_S ("why", answer->text),
+      LOG_S ("instance", run->instance), LOG_U ("attempts", run->attempts),
+      LOG_I ("spent_ms", kernel_now (kernel) - run->arrived_ms),
+      LOG_U ("writes", run->writes), LOG_U ("tx", caller->tx),
+      LOG_U ("version", catalog_config (caller->callers->catalog)->version));
 }
 
 void
@@ -140,6 +141,28 @@
              : CODE_TOOLARGE;
 }
 
+/* Logs that there is no route for DATABASE, and how recent this host's
+   configuration is.  ID is that of the statement.  */
+static void
+log_no_route (const struct callers *callers, const char *id,
+              const char *database)
+{
+  struct mirror_state state = mirror_state (callers->mirror);
+  log_event (kernel_log (callers->base.kernel), LOG_INFO, "no_route",
+             LOG_S ("id", id), LOG_S ("database", database),
+             LOG_U ("version", catalog_config (callers->catalog)->version),
+             LOG_U ("revision", state.revision),
+             LOG_I ("heard_ms_ago", state.heard_ms_ago),
+             LOG_S ("heard_from", state.heard_from));
+}
+
+void
+caller_fail_no_route (struct caller *caller)
+{
+  log_no_route (caller->callers, caller->run.id, caller->database);
+  caller_finish_code (caller, CODE_NODB, caller->database);
+}
+
 static void
 end_transaction (struct caller *caller)
 {
@@ -168,7 +191,7 @@
     }
   if (route == NULL)
     {
-      caller_finish_code (caller, CODE_NODB, caller->database);
+      caller_fail_no_route (caller);
       return;
     }
   if (caller->callers->end_ms != CLK_NEVER)
@@ -337,7 +360,10 @@
              const struct caller_sink *sink)
 {
   if (catalog_route (callers->catalog, database) == NULL)
-    return NULL;
+    {
+      log_no_route (callers, NULL, database);
+      return NULL;
+    }
   return caller_new (callers, database, sink);
 }
 
@@ -405,6 +431,7 @@
   callers->hosts = (struct hosts *)kernel_find (module->kernel, "hosts");
   callers->forwarder
       = (struct forwarder *)kernel_find (module->kernel, "forwarder");
+  callers->mirror = (struct mirror *)kernel_find (module->kernel, "mirror");
 }
 
 static void
--- a/src/proxy/caller_impl.h
+++ b/src/proxy/caller_impl.h
@@ -6,6 +6,7 @@
 #include "proxy/caller.h"
 #include "proxy/caller_metrics.h"
 #include "proxy/forwarder.h"
+#include "proxy/mirror.h"
 
 enum run_stage
 {
@@ -105,6 +106,7 @@
   struct groups *groups;
   struct hosts *hosts;
   struct forwarder *forwarder;
+  struct mirror *mirror;
   struct caller_metrics metrics;
   struct caller_metrics forwarded_metrics;
   clk_ms end_ms; /* of the process, which leaves; CLK_NEVER: it does not */
@@ -178,6 +180,8 @@
 
 /* Passes the answer of the statement to the sink.  */
 void caller_finish (struct caller *caller, const struct answer *answer);
+/* Answers that there is no route for the caller's database.  */
+void caller_fail_no_route (struct caller *caller);
 void caller_finish_code (struct caller *caller, enum code code,
                          const char *text);
 
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -744,7 +744,7 @@
             : catalog_route (caller->callers->catalog, caller->database);
   if (route == NULL)
     {
-      caller_finish_code (caller, CODE_NODB, caller->database);
+      caller_fail_no_route (caller);
       return;
     }
   run->route = *route;
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -8,6 +8,9 @@
 #include "kernel/text.h"
 #include "proxy/relay.h"
 
+/* Name of the store as a source of the contents.  */
+#define STORE_SOURCE "store"
+
 struct mirror
 {
   struct module base;
@@ -15,6 +18,7 @@
   struct hosts *hosts;
   struct relay *relay;
   char source[NAME_BYTES]; /* relay of the call in flight; empty: the store */
+  char heard_from[NAME_BYTES]; /* source of the last confirmation */
   size_t subscriber_count;
   struct mirror_events subscribers[MIRROR_SUBSCRIBERS];
   bool immediate; /* watch without delay, and not at a relay */
@@ -107,6 +111,13 @@
     mirror->changed_after_ms = mirror->lost_after_ms;
 }
 
+static void
+note_confirmed (struct mirror *mirror, clk_ms at_ms, const char *source)
+{
+  mirror->current_ms = at_ms;
+  text_copy (mirror->heard_from, sizeof mirror->heard_from, source);
+}
+
 /* The same for a reply of the store.  */
 static void
 date_store_changes (struct mirror *mirror)
@@ -117,7 +128,7 @@
   date_changes (mirror,
                 pending ? now_ms - MIRROR_DELIVERY_MS : mirror->current_ms);
   if (!mirror->listing)
-    mirror->current_ms = now_ms;
+    note_confirmed (mirror, now_ms, STORE_SOURCE);
 }
 
 /* The same for a reply of a relay.  */
@@ -129,7 +140,7 @@
     since_ms -= MIRROR_RELAY_LAG_MS;
   date_changes (mirror, since_ms);
   if (reachable)
-    mirror->current_ms = kernel_now (mirror->base.kernel);
+    note_confirmed (mirror, kernel_now (mirror->base.kernel), mirror->source);
 }
 
 static void
@@ -223,7 +234,7 @@
     }
   mirror->listing = false;
   mirror->complete = true;
-  mirror->current_ms = mirror->listed_ms;
+  note_confirmed (mirror, mirror->listed_ms, STORE_SOURCE);
   end_list (mirror);
 }
 
@@ -236,6 +247,25 @@
                                       : MIRROR_WATCH_DELAY_MS;
 }
 
+/* Notes that the call in flight failed with STATUS.  Only the first failure of
+   a series is logged.  */
+static void
+note_failure (struct mirror *mirror, enum platform_status status)
+{
+  struct kernel *kernel = mirror->base.kernel;
+  struct mirror_state state = mirror_state (mirror);
+  if (mirror->failures > 0)
+    return;
+  metrics_increment (kernel_metrics (kernel), "store_reads_failed_total");
+  log_event (kernel_log (kernel), LOG_NOTICE, "store_read_failed",
+             LOG_S ("call", mirror->listing ? "list" : "watch"),
+             LOG_U ("status", status),
+             LOG_I ("spent_ms", kernel_now (kernel) - mirror->sent_ms),
+             LOG_U ("revision", state.revision),
+             LOG_I ("heard_ms_ago", state.heard_ms_ago),
+             LOG_S ("heard_from", state.heard_from));
+}
+
 /* Returns whether the call in flight continues what was received before.  */
 static bool
 continues (const struct mirror *mirror)
@@ -267,6 +297,7 @@
   /* A reply of an earlier era was delayed.  */
   if (reply->status != PLATFORM_OK || reply->era < mirror->era)
     {
+      note_failure (mirror, reply->status);
       if (mirror->failures > 0)
         set_store_reachable (mirror, false);
       if (mirror->listing)
@@ -571,6 +602,18 @@
   mirror->eager = eager;
 }
 
+struct mirror_state
+mirror_state (const struct mirror *mirror)
+{
+  clk_ms now_ms = kernel_now (mirror->base.kernel);
+  bool never = mirror->current_ms == CLK_LONG_AGO;
+  return (struct mirror_state){
+    .revision = platform_index_revision (mirror->revision),
+    .heard_ms_ago = never ? -1 : now_ms - mirror->current_ms,
+    .heard_from = mirror->heard_from,
+  };
+}
+
 uint64_t
 mirror_revision (const struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -104,6 +104,17 @@
 /* Returns the store revision up to which changes have been applied.  */
 uint64_t mirror_revision (const struct mirror *mirror);
 
+/* What a host knows of its own contents, for logs and reports.  */
+struct mirror_state
+{
+  uint64_t revision;      /* of the store, without its era */
+  int64_t heard_ms_ago;   /* since the contents were last confirmed; -1: never
+                           */
+  const char *heard_from; /* "store" or the name of a relay; "" if never */
+};
+
+struct mirror_state mirror_state (const struct mirror *mirror);
+
 /* For the callbacks item and removed: returns the time after which the change
    was made, as far as this host can tell; CLK_LONG_AGO for the first listing.
  */
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -205,6 +205,23 @@
   standin_stop (&fleet);
 }
 
+/* Reads the host's log up to a line that contains all of WORDS.  */
+static void
+await_log (const char *const words[], size_t count)
+{
+  char line[1024];
+  for (int i = 0; i < LOG_LINE_LIMIT; i++)
+    {
+      size_t found = 0;
+      ck_assert_ptr_nonnull (fgets (line, sizeof line, host_log));
+      while (found < count && strstr (line, words[found]) != NULL)
+        found++;
+      if (found == count)
+        return;
+    }
+  ck_abort_msg ("the host logged no line with %s", words[0]);
+}
+
 UNIT_TEST (test_session_reads_its_own_write)
 {
   int fd = start_session ();
@@ -224,6 +241,7 @@
   ck_assert_ptr_nonnull (strstr (status, "\"host\":\"h1\""));
   ck_assert_ptr_nonnull (strstr (status, "\"ready\":true"));
   ck_assert_ptr_nonnull (strstr (status, "\"store_reached\":true"));
+  ck_assert_ptr_nonnull (strstr (status, "\"store_heard_from\":\"store\""));
   const char *topology = http_get (metrics, "/v1/topology");
   ck_assert_ptr_nonnull (strstr (topology, "\"name\":\"i-0\""));
   ck_assert_ptr_nonnull (strstr (topology, "\"gateways\":[\"h1\"]"));
@@ -255,6 +273,20 @@
   close (fd);
 }
 
+UNIT_TEST (
+    test_a_request_without_a_route_tells_how_recent_the_configuration_is)
+{
+  static const char *const words[]
+      = { "event=no_route", "database=nowhere", "version=3",
+          "heard_from=store", "heard_ms_ago=" };
+  int fd = connect_to (callers);
+  send_text (fd, "STARTUP nowhere u1\r\n");
+  await_log (words, sizeof words / sizeof words[0]);
+  ck_assert_ptr_nonnull (
+      strstr (http_get (metrics, "/metrics"), "savoryway_store_heard_age_ms"));
+  close (fd);
+}
+
 UNIT_PLAIN (test_sessions_wait_until_configuration_is_loaded)
 {
   struct pollfd poll_fd = { .events = POLLIN };
@@ -283,23 +315,6 @@
   ck_assert_int_eq (status, 0);
 }
 
-/* Reads the host's log up to a line that contains all of WORDS.  */
-static void
-await_log (const char *const words[], size_t count)
-{
-  char line[1024];
-  for (int i = 0; i < LOG_LINE_LIMIT; i++)
-    {
-      size_t found = 0;
-      ck_assert_ptr_nonnull (fgets (line, sizeof line, host_log));
-      while (found < count && strstr (line, words[found]) != NULL)
-        found++;
-      if (found == count)
-        return;
-    }
-  ck_abort_msg ("the host logged no line with %s", words[0]);
-}
-
 /* Guards against a host that follows a history that the store has lost.  */
 UNIT_TEST (test_announcements_are_read_after_the_store_was_restored)
 {
