Tests that fail: changes are not read where the store leaves calls unanswered

The stand-in of the users' platform and the model of the store lose calls whose connections stay open, and watches that are pending. The stand-in's leases end now, and its operator adds routes. soak_config plays series of faults and changes against sixteen hosts that run as processes, with callers that keep their sessions until a process is gone.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,16 @@
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ -lcheck -lsubunit -lpthread -lrt $(ALL_LIBS)
 
+$(BUILD)/soak_config: $(call obj,tests/soak/soak_config.c) $(LIB)
+	@echo "  LD $@"
+	@$(CC) -o $@ $^ $(ALL_LIBS)
+
+# Hosts as processes, faults and changes in series; each seed takes a minute.
+SOAK_SEEDS ?= 1
+.PHONY: soak
+soak: all standins $(BUILD)/soak_config
+	@$(BUILD)/soak_config --logs=$(BUILD) $(SOAK_SEEDS)
+
 $(BENCH_BIN): $(BUILD)/%: $(BUILD)/bench/%.o $(call obj,$(HARNESS_SRC) $(LOAD_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ $(ALL_LIBS)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -197,6 +197,10 @@
 /* Drops all pending watches: the store never answers them, though their
    connections stay open.  */
 void fleet_store_drop_watches (struct fleet *fleet);
+/* Makes the store lose PERCENT of the calls that arrive: it never answers
+   them, though their connections stay open.  Pending watches get no answer
+   until PERCENT is 0 again.  */
+void fleet_store_lose_calls (struct fleet *fleet, uint32_t percent);
 /* Drops the pending watches of HOST.  */
 void fleet_store_drop_watch (struct fleet_host *host);
 /* Compacts the store's history, so that watches fail with
@@ -318,6 +322,7 @@
 /* Returns the revision of a key; 0 if there is none.  */
 uint64_t fleet_store_find (const struct fleet *fleet, const char *name);
 bool fleet_store_is_down (const struct fleet *fleet);
+bool fleet_store_is_disturbed (const struct fleet *fleet);
 void fleet_note_store_disturbed (struct fleet *fleet);
 /* Lets instances and operator write again what a restored store has lost.  */
 void fleet_write_again (struct fleet *fleet);
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -88,7 +88,9 @@
 {
   struct fleet *fleet;
   bool down;
-  uint64_t era; /* rises each time the store is restored */
+  uint32_t lost_percent; /* of the calls that arrive; pending watches get no
+                            answer while it isn't 0 */
+  uint64_t era;          /* rises each time the store is restored */
   uint64_t revision;
   uint64_t compacted_revision; /* older history is removed */
   struct store_copy copy;
@@ -382,6 +384,13 @@
   return !call->store->down && (call->host == NULL || !call->host->store_cut);
 }
 
+/* Returns whether a pending watch may be answered now.  */
+static bool
+may_answer (const struct store_call *call)
+{
+  return call->waiting && is_served (call) && call->store->lost_percent == 0;
+}
+
 static bool
 is_frozen (const struct store_call *call)
 {
@@ -398,8 +407,7 @@
       struct store_call *call, *next;
       answered = false;
       DL_FOREACH_SAFE (store->calls_in_flight, call, next)
-      if (call->waiting && is_served (call) && !is_frozen (call)
-          && answer_watch (call))
+      if (may_answer (call) && !is_frozen (call) && answer_watch (call))
         {
           answered = true;
           break; /* the callback may have changed the list */
@@ -447,7 +455,7 @@
                 && (call->call.kind == PLATFORM_WRITE
                     || call->call.kind == PLATFORM_LEASE
                     || call->call.kind == PLATFORM_RENEW);
-  if (call != NULL && call->waiting && is_served (call))
+  if (call != NULL && may_answer (call))
     answer_watch (call);
   else if (call != NULL)
     finish_status (call, writes ? PLATFORM_LOST : PLATFORM_UNAVAILABLE);
@@ -473,7 +481,7 @@
   if (postpone (call, keep_alive, ref))
     return;
   bool ended = call == NULL || call->lost
-               || (is_served (call) && call->waiting && answer_watch (call));
+               || (may_answer (call) && answer_watch (call));
   if (ended)
     free (ref);
   else if (!is_served (call))
@@ -558,6 +566,13 @@
     finish_status (call, PLATFORM_UNAVAILABLE);
 }
 
+static bool
+loses_call (struct fleet_store *store)
+{
+  return store->lost_percent > 0
+         && rng_below (&store->fleet->rng, 100) < store->lost_percent;
+}
+
 static void
 call_arrived (void *arg)
 {
@@ -565,7 +580,9 @@
   struct store_call *call = find_call (ref->store, ref->id);
   if (postpone (call, call_arrived, ref))
     return;
-  if (call != NULL && is_served (call))
+  if (call != NULL && is_served (call) && loses_call (call->store))
+    call->lost = true;
+  else if (call != NULL && is_served (call))
     run_call (call);
   else if (call != NULL && call->call.kind == PLATFORM_WATCH)
     schedule (call, KEEPALIVE_MS, watch_sent_again);
@@ -682,6 +699,12 @@
   free (store);
 }
 
+bool
+fleet_store_is_disturbed (const struct fleet *fleet)
+{
+  return fleet->store->down || fleet->store->lost_percent > 0;
+}
+
 bool
 fleet_store_is_down (const struct fleet *fleet)
 {
@@ -829,6 +852,14 @@
     fleet_store_drop_watch (&fleet->hosts[i]);
 }
 
+void
+fleet_store_lose_calls (struct fleet *fleet, uint32_t percent)
+{
+  fleet->store->lost_percent = percent;
+  fleet_note_store_disturbed (fleet);
+  answer_watches (fleet->store);
+}
+
 void
 fleet_store_compact (struct fleet *fleet)
 {
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -284,7 +284,7 @@
       if (host->running)
         check_config (host);
     }
-  if (fleet_store_is_down (fleet))
+  if (fleet_store_is_disturbed (fleet))
     fleet_note_store_disturbed (fleet);
   if (now_ms % FLEET_BEAT_MS < TICK_MS)
     fleet_publish (fleet);
--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -18,7 +18,15 @@
                 are lost, revisions and ids of leases are given out again,
                 pending watches are cut, and Store-Era rises; the instances
                 and the operator write again what they wrote
-     GET /state  the leader, its term and the number of writes so far, as JSON
+       config   adds the route "added-VERSION" to the configuration, which
+                keeps the ROUTES_KEPT newest of them
+       silence  for the next "ms" ms the store loses calls that arrive, each
+                with a chance of "percent" (100): it never answers them, though
+                their connections stay open; pending watches get no answer
+                until then
+       lose_watches  loses the watches that are pending in the same way
+     GET /state  the leader, its term, the number of writes so far and the
+                 version of the configuration, as JSON
 
    Instances share one set of rows, so replicas have no lag.  */
 
@@ -26,6 +34,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -42,10 +51,17 @@
 #include "standin_control.h"
 
 #define INSTANCES 3
-#define KEY_LIMIT 256
-#define LEASE_LIMIT 256
+#define KEY_LIMIT 1024
+#define LEASE_LIMIT 1024
+#define LEASE_CHECK_US 100000
+/* Added routes that a configuration contains.  */
+#define ROUTES_KEPT 8
+#define FIRST_VERSION 3
 #define PROMOTION_DELAY_US 100000 /* from the call to the change of roles */
 #define SLOW_WRITE_US 300000
+#define LOST_CALL_S 60
+#define SILENCE_POLL_US 50000
+#define CONNECTIONS 200 /* of an instance, from all hosts */
 #define GROUP "books"
 #define DATABASE "ledger"
 
@@ -59,12 +75,19 @@
   bool removed; /* kept, since watches report removed keys */
 };
 
+struct lease
+{
+  json_int_t id;
+  json_int_t ttl_ms;
+  double until_ms;
+};
+
 /* The contents of the store.  */
 struct store
 {
   struct store_entry keys[KEY_LIMIT];
   size_t key_count;
-  json_int_t leases[LEASE_LIMIT];
+  struct lease leases[LEASE_LIMIT];
   size_t lease_count;
   json_int_t next_lease;
   uint64_t revision;
@@ -114,6 +137,9 @@
 static struct store copy;
 static uint64_t era = 1; /* of the store */
 static struct watch *watches;
+static unsigned version = FIRST_VERSION; /* of the configuration */
+static double silent_until_ms;           /* of the store */
+static unsigned silent_percent;
 static size_t promotion_target;
 
 /* Store.  */
@@ -127,6 +153,20 @@
   return NULL;
 }
 
+static double
+now_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+static bool
+is_silent (void)
+{
+  return now_ms () < silent_until_ms;
+}
+
 static json_t *
 entry_json (const struct store_entry *entry)
 {
@@ -207,6 +247,8 @@
 answer_changed_watches (void)
 {
   struct watch *watch, *next;
+  if (is_silent ())
+    return;
   DL_FOREACH_SAFE (watches, watch, next)
   watch_reply (watch, false);
 }
@@ -250,17 +292,37 @@
   free (value);
 }
 
+static json_t *
+route_json (const char *name, const char *database)
+{
+  return json_pack ("{s:s, s:s, s:s, s:i, s:i, s:s, s:i}", "name", name,
+                    "host", database, "kind", "read_your_writes", "timeout_ms",
+                    1000, "priority", 1, "service", GROUP, "max_staleness_ms",
+                    2000);
+}
+
 /* Writes the configuration, as the operator does.  */
 static void
 write_config (void)
 {
-  put_text ("op/config",
-            "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"" DATABASE
-            "\",\"kind\":\"read_your_writes\",\"timeout_ms\":1000,"
-            "\"priority\":1,\"service\":\"" GROUP
-            "\",\"max_staleness_ms\":2000}],\"services\":[{\"name\":\"" GROUP
-            "\",\"max_conns\":40,\"sync_replicas\":0}],\"limits\":{"
-            "\"tx_idle_ms\":3000}}");
+  json_t *routes = json_array ();
+  unsigned first = version > ROUTES_KEPT ? version - ROUTES_KEPT : 0;
+  json_array_append_new (routes, route_json ("r", DATABASE));
+  for (unsigned i = first + 1; i <= version; i++)
+    {
+      char *name = mem_printf ("added-%u", i);
+      if (i > FIRST_VERSION)
+        json_array_append_new (routes, route_json (name, name));
+      free (name);
+    }
+  json_t *config = json_pack (
+      "{s:i, s:o, s:[{s:s, s:i, s:i}], s:{s:i}}", "version", (int)version,
+      "routes", routes, "services", "name", GROUP, "max_conns", CONNECTIONS,
+      "sync_replicas", 0, "limits", "tx_idle_ms", 3000);
+  char *text = json_dumps (config, JSON_COMPACT);
+  put_text ("op/config", text);
+  json_decref (config);
+  free (text);
 }
 
 /* Writes the records of the instances, as the platform lists them.  */
@@ -292,33 +354,67 @@
                      evbuffer_get_length (input), 0, NULL);
 }
 
-static json_int_t *
-find_lease (json_int_t lease)
+static struct lease *
+find_lease (json_int_t id)
 {
   for (size_t i = 0; i < store.lease_count; i++)
-    if (store.leases[i] == lease)
+    if (store.leases[i].id == id)
       return &store.leases[i];
   return NULL;
 }
 
+/* Removes LEASE and its keys.  */
+static void
+remove_lease (struct lease *lease)
+{
+  for (size_t i = 0; i < store.key_count; i++)
+    if (store.keys[i].lease == lease->id)
+      remove_entry (&store.keys[i]);
+  *lease = store.leases[--store.lease_count];
+}
+
+static void
+on_lease_check (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  for (size_t i = store.lease_count; i > 0; i--)
+    if (store.leases[i - 1].until_ms < now_ms ())
+      remove_lease (&store.leases[i - 1]);
+  answer_changed_watches ();
+}
+
 static void
 create_lease (struct evhttp_request *request)
 {
+  json_t *body = read_body (request);
+  json_int_t ttl_ms = json_integer_value (json_object_get (body, "ttl_ms"));
+  json_decref (body);
   if (store.lease_count == LEASE_LIMIT)
     abort ();
-  store.leases[store.lease_count++] = store.next_lease;
+  store.leases[store.lease_count++]
+      = (struct lease){ .id = store.next_lease,
+                        .ttl_ms = ttl_ms,
+                        .until_ms = now_ms () + (double)ttl_ms };
   reply_store (request, 200, json_pack ("{s:I}", "lease", store.next_lease++));
 }
 
 static void
-end_lease (struct evhttp_request *request, json_int_t lease)
+renew_lease (struct evhttp_request *request, json_int_t id)
 {
-  json_int_t *found = find_lease (lease);
-  for (size_t i = 0; i < store.key_count; i++)
-    if (store.keys[i].lease == lease)
-      remove_entry (&store.keys[i]);
-  if (found != NULL)
-    *found = store.leases[--store.lease_count];
+  struct lease *lease = find_lease (id);
+  if (lease != NULL)
+    lease->until_ms = now_ms () + (double)lease->ttl_ms;
+  reply_store (request, lease != NULL ? 200 : 404, json_object ());
+}
+
+static void
+end_lease (struct evhttp_request *request, json_int_t id)
+{
+  struct lease *lease = find_lease (id);
+  if (lease != NULL)
+    remove_lease (lease);
   reply_store (request, 200, json_object ());
   answer_changed_watches ();
 }
@@ -365,7 +461,12 @@
 {
   (void)fd;
   (void)what;
-  watch_reply (arg, true);
+  static const struct timeval later = { .tv_usec = SILENCE_POLL_US };
+  struct watch *watch = arg;
+  if (is_silent ())
+    evtimer_add (watch->timeout, &later);
+  else
+    watch_reply (watch, true);
 }
 
 static void
@@ -391,6 +492,52 @@
     evtimer_add (watch->timeout, &timeout);
 }
 
+static void
+on_lost_call (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  reply_store (arg, 503, json_object ());
+}
+
+/* Does not answer REQUEST.  Its connection is ended long after the caller has
+   given up.  */
+static void
+lose_call (struct evhttp_request *request)
+{
+  static const struct timeval span = { .tv_sec = LOST_CALL_S };
+  event_base_once (base, -1, EV_TIMEOUT, on_lost_call, request, &span);
+}
+
+static void
+lose_watches (void)
+{
+  while (watches != NULL)
+    {
+      lose_call (watches->request);
+      watch_free (watches);
+    }
+}
+
+static void
+on_silence_end (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  answer_changed_watches ();
+}
+
+static void
+silence_store (json_int_t span_ms, json_int_t percent)
+{
+  struct timeval span
+      = { .tv_sec = span_ms / 1000, .tv_usec = span_ms % 1000 * 1000 };
+  silent_until_ms = now_ms () + (double)span_ms;
+  silent_percent = (unsigned)percent;
+  event_base_once (base, -1, EV_TIMEOUT, on_silence_end, NULL, &span);
+}
+
 static void
 on_store (struct evhttp_request *request, void *arg)
 {
@@ -399,6 +546,11 @@
   const char *text = evhttp_uri_get_query (uri);
   struct evkeyvalq query;
   (void)arg;
+  if (is_silent () && (unsigned)rand () % 100 < silent_percent)
+    {
+      lose_call (request);
+      return;
+    }
   evhttp_parse_query_str (text != NULL ? text : "", &query);
   if (strcmp (path, "/kv-range") == 0)
     reply_store (
@@ -424,8 +576,7 @@
   else if (strncmp (path, "/kv-lease-end/", 14) == 0)
     end_lease (request, atoll (path + 14));
   else if (strncmp (path, "/kv-keep/", 9) == 0)
-    reply_store (request, find_lease (atoll (path + 9)) != NULL ? 200 : 404,
-                 json_object ());
+    renew_lease (request, atoll (path + 9));
   else
     reply_store (request, 404, json_object ());
   evhttp_clear_headers (&query);
@@ -680,6 +831,14 @@
     copy_store (&copy, &store);
   else if (strcmp (kind, "restore") == 0)
     restore_store ();
+  else if (strcmp (kind, "lose_watches") == 0)
+    lose_watches ();
+  else if (strcmp (kind, "config") == 0)
+    {
+      version++;
+      write_config ();
+      answer_changed_watches ();
+    }
   else
     return false;
   return true;
@@ -688,22 +847,29 @@
 static int
 on_control (void *arg, const char *path, json_t *body, char **answer)
 {
-  json_int_t index = 0;
+  json_int_t index = 0, span_ms = 0, percent = 100;
   const char *kind = "";
   (void)arg;
   if (strcmp (path, "/state") == 0)
     {
       *answer = mem_printf ("{\"leader\":%zu,\"term\":%" PRIu64
-                            ",\"number\":%" PRIu64 "}",
-                            leader, term, number);
+                            ",\"number\":%" PRIu64 ",\"version\":%u}",
+                            leader, term, number, version);
       return HTTP_OK;
     }
-  if (json_unpack (body, "{s?I, s:s}", "instance", &index, "kind", &kind) != 0
+  if (json_unpack (body, "{s?I, s:s, s?I, s?I}", "instance", &index, "kind",
+                   &kind, "ms", &span_ms, "percent", &percent)
+          != 0
       || index < 0 || index >= INSTANCES)
     return HTTP_BADREQUEST;
   struct instance *instance = &instances[index];
   if (inject_store_fault (kind))
     return HTTP_OK;
+  if (strcmp (kind, "silence") == 0)
+    {
+      silence_store (span_ms, percent);
+      return HTTP_OK;
+    }
   if (strcmp (kind, "crash") == 0 && !instance->crashed)
     crash_instance (instance);
   else if (strcmp (kind, "back") == 0 && instance->crashed)
@@ -748,6 +914,9 @@
       snprintf (instances[i].id, sizeof instances[i].id, "i-%zu", i);
       start_instance (&instances[i], 0);
     }
+  struct event *lease_check
+      = event_new (base, -1, EV_PERSIST, on_lease_check, NULL);
+  event_add (lease_check, &(struct timeval){ .tv_usec = LEASE_CHECK_US });
   write_config ();
   publish_instances ();
   printf ("store=%u promote=%u control=%u\n", start_http (kv, on_store),
@@ -755,5 +924,6 @@
   fflush (stdout);
   standin_run (base);
   evhttp_free (controls);
+  event_free (lease_check);
   return EXIT_SUCCESS;
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -624,6 +624,63 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which the store leaves calls unanswered while hosts that follow
+   relays are killed, stand still or lose their watches, and the configuration
+   changes.  */
+#define SILENT_SEEDS 10
+#define SILENT_LENGTH 30
+#define SILENT_ROUNDS 8
+
+static void
+disturb_hosts (struct schedule *s)
+{
+  uint64_t kind = below (s, 4);
+  for (uint64_t left = below (s, 12); left > 0; left--)
+    {
+      struct fleet_host *host = fleet_host (s->fleet, below (s, FLEET_HOSTS));
+      if (fleet_host_frozen (host))
+        continue;
+      if (kind == 0)
+        {
+          kill_host (s, host);
+          fleet_host_start (host);
+        }
+      else if (kind == 1)
+        fleet_host_freeze (host, 200 + (clk_ms)below (s, 4000));
+      else if (kind == 2)
+        fleet_store_drop_watch (host);
+    }
+}
+
+static void
+run_silent (uint64_t seed)
+{
+  struct schedule s
+      = { .fleet = fleet_new (seed, FLEET_HOSTS), .restarts = true };
+  rng_init (&s.rng, seed + 7000000);
+  fleet_run (s.fleet, 5000);
+  for (int round = 0; round < SILENT_ROUNDS; round++)
+    {
+      if (below (&s, 3) == 0)
+        fleet_store_drop_watches (s.fleet);
+      fleet_store_lose_calls (s.fleet, 20 + (uint32_t)below (&s, 4) * 40);
+      fleet_run (s.fleet, 200 + (clk_ms)below (&s, 3000));
+      if (below (&s, 2) == 0)
+        fleet_change_config (s.fleet);
+      fleet_store_lose_calls (s.fleet, 0);
+      disturb_hosts (&s);
+      for (uint64_t left = 1 + below (&s, 3); left > 0; left--)
+        {
+          fleet_run (s.fleet, (clk_ms)below (&s, 5000));
+          fleet_change_config (s.fleet);
+        }
+      fleet_run (s.fleet, (clk_ms)below (&s, 8000));
+    }
+  ck_assert_msg (fleet_violation (s.fleet) == NULL, "seed %llu: %s",
+                 (unsigned long long)seed, fleet_violation (s.fleet));
+  fleet_free (s.fleet);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -723,6 +780,11 @@
   run_seeds (SYNC_SEEDS, SYNC_LENGTH, run_sync);
 }
 
+UNIT_PLAIN (test_changes_are_in_force_in_time_where_the_store_is_silent)
+{
+  run_seeds (SILENT_SEEDS, SILENT_LENGTH, run_silent);
+}
+
 UNIT_PLAIN (test_guarantees_hold_while_the_store_is_restored)
 {
   run_seeds (RESTORED_SEEDS, RESTORED_LENGTH, run_restored);
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -308,6 +308,41 @@
                     1000 + FLEET_PROMOTE_MS);
 }
 
+/* Changes the configuration and waits until it must be in force on every host
+   that is in touch; the oracle checks that.  */
+static void
+change_config_in_touch (void)
+{
+  fleet_run (fleet, FLEET_TOUCH_MS + 1000);
+  fleet_change_config (fleet);
+  fleet_run (fleet, FLEET_APPLY_MS + 500);
+}
+
+/* Guards against CONFIG: hosts that lost their relays in a silence of the
+   store waited 31 s for a watch of their own that was never answered.  */
+UNIT_TEST (test_hosts_whose_relays_failed_read_changes_after_a_silent_store)
+{
+  use_large_fleet ();
+  for (int i = 0; i < 4; i++)
+    {
+      fleet_store_lose_calls (fleet, 100);
+      fleet_run (fleet, 900 + i * 200);
+      fleet_store_lose_calls (fleet, 0);
+      change_config_in_touch ();
+    }
+}
+
+/* Guards against CONFIG: no host told the others of a change if all watches
+   were lost.  */
+UNIT_TEST (test_changes_are_read_though_no_watch_is_answered)
+{
+  fleet_store_drop_watches (fleet);
+  change_config_in_touch ();
+  use_large_fleet ();
+  fleet_store_drop_watches (fleet);
+  change_config_in_touch ();
+}
+
 /* Guards against DRAIN: the same where hosts follow relays.  */
 UNIT_TEST (test_hosts_behind_relays_follow_a_restored_store)
 {
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -315,6 +315,33 @@
   ck_assert_int_eq (status, 0);
 }
 
+/* Time within which a change must be in force, and its deadline in steps.  */
+#define APPLY_MS 3000
+#define APPLY_STEP_MS 50
+#define CALM_MS 4500
+
+/* Guards against CONFIG: a host waited 31 s for a watch that the store never
+   answers, and refused routes that had been added meanwhile.  */
+UNIT_TEST (
+    test_a_change_is_in_force_in_time_though_the_watch_is_never_answered)
+{
+  const char *answer = "";
+  usleep (CALM_MS * 1000); /* the host's own writes have been read */
+  inject_fault ("{\"kind\":\"lose_watches\"}");
+  inject_fault ("{\"kind\":\"config\"}");
+  for (int spent_ms = 0;
+       spent_ms < APPLY_MS && strncmp (answer, "READY", 5) != 0;
+       spent_ms += APPLY_STEP_MS)
+    {
+      usleep (APPLY_STEP_MS * 1000);
+      int fd = connect_to (callers);
+      send_text (fd, "STARTUP added-4 u1\r\n");
+      answer = read_until (fd, "\r\n");
+      close (fd);
+    }
+  ck_assert_str_eq (answer, "READY I -\r\n");
+}
+
 /* Guards against a host that follows a history that the store has lost.  */
 UNIT_TEST (test_announcements_are_read_after_the_store_was_restored)
 {
