A watch waits for a limited time, since an open connection is no sign of life

What callers saw: routes that had been added were refused, for up to 31 s.

Cause: a watch of the store waited 30 s, and only an answer, an error or a dead connection ended it. The store may leave a watch unanswered while its connection stays up and other calls are answered. Hosts that watch by themselves, as their relays failed in the same silence, are told by nobody; if all watches are lost, nobody knows.

A watch that other signs call lost counts as a failure, so that the next failure makes the store unreachable.

--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -112,6 +112,7 @@
   char *promote_endpoint;
   int64_t shutdown_limit_s;
   int64_t instance_drain_ms;
+  int64_t config_apply_ms;
   int64_t fencing_enforced; /* 0 or 1 */
   int64_t link_mbps;
 };
--- a/src/cli/settings_table.c
+++ b/src/cli/settings_table.c
@@ -265,6 +265,16 @@
     .fallback = "7000",
     .help = "Time for which an instance takes new work after it has announced "
             "that it leaves" },
+  { .name = "config-apply-ms",
+    .type = SETTING_NUMBER,
+    .commands = SETTINGS_SERVE,
+    .min = 1000,
+    .max = 3600000,
+    FIELD (config_apply_ms),
+    .fallback = "3000",
+    .help = "Time within which a change of the configuration is in force on "
+            "every host; a host confirms after half of it that it has missed "
+            "none" },
   { .name = "fencing-enforced",
     .type = SETTING_CHOICE,
     .commands = SETTINGS_SERVE,
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -15,6 +15,7 @@
 {
   struct module base;
   struct platform_port *port;
+  clk_ms apply_ms; /* within which a configuration must take effect */
   struct hosts *hosts;
   struct relay *relay;
   char source[NAME_BYTES]; /* relay of the call in flight; empty: the store */
@@ -403,6 +404,17 @@
   return true;
 }
 
+/* Returns how long the next watch may wait: until the contents must be
+   confirmed again.  After a failure a short watch shows early whether the
+   store answers.  */
+static clk_ms
+watch_wait_ms (const struct mirror *mirror)
+{
+  clk_ms now_ms = kernel_now (mirror->base.kernel);
+  clk_ms due_ms = mirror->current_ms + mirror->apply_ms / MIRROR_WAIT_DIVISOR;
+  return mirror->failures > 0 || due_ms <= now_ms ? 1 : due_ms - now_ms;
+}
+
 static void
 next_call (struct mirror *mirror)
 {
@@ -412,14 +424,14 @@
           .key = "",
           .after = mirror->after,
           .wait_index = mirror->revision,
-          .wait_ms = mirror->listing ? 0 : MIRROR_WAIT_MS,
           .timeout_ms = MIRROR_CALL_TIMEOUT_MS };
   mirror->sent_ms = kernel_now (mirror->base.kernel);
   if (follow_relay (mirror))
     return;
-  /* After a failure a short watch shows early whether the store answers.  */
-  if (!mirror->listing && mirror->failures > 0)
-    call.wait_ms = 1;
+  if (!mirror->listing)
+    call.wait_ms = watch_wait_ms (mirror);
+  if (!mirror->listing && mirror->failures == 0)
+    call.timeout_ms = MIRROR_WATCH_MARGIN_MS;
   mirror->call
       = mirror->port->ops->call (mirror->port, &call, on_reply, mirror);
 }
@@ -469,6 +481,7 @@
   if (!is_watching (mirror))
     return;
   cancel_call (mirror);
+  mirror->failures++;
   next_call (mirror);
 }
 
@@ -547,9 +560,10 @@
     = { .start = mirror_start, .free = mirror_free };
 
 struct mirror *
-mirror_new (struct platform_port *port)
+mirror_new (struct platform_port *port, clk_ms apply_ms)
 {
   struct mirror *mirror = mem_zalloc (sizeof *mirror);
+  mirror->apply_ms = apply_ms;
   mirror->base.ops = &mirror_ops;
   mirror->base.name = "mirror";
   mirror->port = port;
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -6,6 +6,10 @@
    lists all keys again; keys that are missing then count as removed.  Failed
    calls are retried without end.
 
+   An open connection does not show that the store still serves a watch, so
+   each watch waits for a limited time only: an answer without events confirms
+   the contents, and a watch without an answer is replaced.
+
    If the store was restored from an older copy, which its era tells, the
    mirror also lists all keys again.  What was applied before may be newer than
    what the copy contains: subscribers must order the contents themselves where
@@ -24,8 +28,12 @@
 #include "kernel/kernel.h"
 #include "port/platform_port.h"
 
-/* Wait of a watch call.  TCP keep-alive detects a dead connection earlier.  */
-#define MIRROR_WAIT_MS 30000
+/* The contents are confirmed after at most this part of the time within which
+   a configuration must take effect, so that the rest is left to replace a
+   watch that was lost.  */
+#define MIRROR_WAIT_DIVISOR 2
+/* Added to the wait of a watch for its timeout.  */
+#define MIRROR_WATCH_MARGIN_MS 500
 #define MIRROR_CALL_TIMEOUT_MS 1200
 /* Limits of the exponential backoff.  Refused calls have a cost too, so the
    upper limit can't be much shorter.  */
@@ -82,7 +90,8 @@
 
 struct mirror;
 
-struct mirror *mirror_new (struct platform_port *port);
+/* APPLY_MS is the time within which a configuration must take effect.  */
+struct mirror *mirror_new (struct platform_port *port, clk_ms apply_ms);
 struct module *mirror_module (struct mirror *mirror);
 
 /* Adds a subscriber, of at most MIRROR_SUBSCRIBERS.  Copies EVENTS, but not
@@ -130,8 +139,8 @@
 /* Returns whether a call to a relay is in flight.  */
 bool mirror_follows_relay (const struct mirror *mirror);
 
-/* Restarts the watch after the store has refused other calls: it may have lost
-   the watch as well.  */
+/* Replaces the watch, which may have been lost, by one that does not wait.  If
+   it fails too, the store counts as unreachable.  */
 void mirror_restart_watch (struct mirror *mirror);
 
 /* Lists all keys again.  */
