--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -183,6 +183,26 @@
     evhttp_cancel_request (http);
 }
 
+/* Closes the connections that have no call.  What made another one silent may
+   have happened to them too, and would cost the next calls their timeouts.  */
+static void
+close_idle (struct consul *self)
+{
+  size_t kept = 0;
+  for (size_t i = 0; i < self->conn_count; i++)
+    {
+      struct consul_conn *conn = self->conns[i];
+      if (conn->call != NULL)
+        {
+          self->conns[kept++] = conn;
+          continue;
+        }
+      evhttp_connection_free (conn->http);
+      free (conn);
+    }
+  self->conn_count = kept;
+}
+
 static void
 on_timeout (evutil_socket_t fd, short events, void *arg)
 {
@@ -193,7 +213,10 @@
   if (call->unsendable)
     status = PLATFORM_REJECTED;
   else if (call->conn != NULL && call->conn->sent)
-    status = kv_unanswered_status (call->kind);
+    {
+      status = kv_unanswered_status (call->kind);
+      close_idle (call->consul);
+    }
   cancel_exchange (call);
   finish_status (call, status);
 }
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -5,6 +5,7 @@
 #include "../standin/standin_spawn.h"
 #include "kernel/mem.h"
 #include "kernel/rng.h"
+#include "port/address.h"
 #include "port/consul.h"
 #include "port/consul_codec.h"
 #include "unit.h"
@@ -380,6 +381,75 @@
   ck_assert_int_eq (run (&late), PLATFORM_UNAVAILABLE);
 }
 
+#define SILENT_CONNECTIONS 3
+
+/* Answers the first request of each connection only.  ARG are the clients'
+   ports of the first connections.  */
+static void
+on_silent_request (struct evhttp_request *request, void *arg)
+{
+  uint16_t *known = arg, client;
+  char *address;
+  evhttp_connection_get_peer (evhttp_request_get_connection (request),
+                              &address, &client);
+  for (size_t i = 0; i < SILENT_CONNECTIONS; i++)
+    {
+      if (known[i] == client)
+        return;
+      if (known[i] != 0)
+        continue;
+      known[i] = client;
+      break;
+    }
+  evhttp_send_reply (request, HTTP_NOTFOUND, NULL, NULL);
+}
+
+/* Replies of calls in flight, and those among them that the server sent.  */
+static int replies_due, replies_sent;
+
+static void
+on_counted_reply (void *arg, const struct platform_reply *reply)
+{
+  (void)arg;
+  replies_due--;
+  replies_sent += reply->status == PLATFORM_NOT_FOUND;
+}
+
+/* Makes COUNT calls at the same time.  Returns how many were answered.  */
+static int
+run_concurrently (struct platform_port *at, int count)
+{
+  struct platform_call call
+      = { .kind = PLATFORM_GET, .key = "k", .timeout_ms = 200 };
+  replies_due = count;
+  replies_sent = 0;
+  for (int i = 0; i < count; i++)
+    at->ops->call (at, &call, on_counted_reply, NULL);
+  while (replies_due > 0)
+    ck_assert_int_eq (event_base_loop (base, EVLOOP_ONCE), 0);
+  return replies_sent;
+}
+
+/* Guards against CONFIG: calls went to one connection after the other that had
+   gone silent together, and each cost its timeout.  */
+UNIT_TEST (test_connections_are_replaced_once_one_of_them_is_silent)
+{
+  uint16_t known[SILENT_CONNECTIONS] = { 0 };
+  struct evhttp *server = evhttp_new (base);
+  struct evhttp_bound_socket *bound
+      = evhttp_bind_socket_with_handle (server, "127.0.0.1", 0);
+  evhttp_set_gencb (server, on_silent_request, known);
+  struct platform_port *silent = new_port (
+      address_bound_port (evhttp_bound_socket_get_fd (bound)), 1000);
+  ck_assert_int_eq (run_concurrently (silent, SILENT_CONNECTIONS),
+                    SILENT_CONNECTIONS);
+  ck_assert_int_eq (run_concurrently (silent, 1), 0);
+  ck_assert_int_eq (run_concurrently (silent, SILENT_CONNECTIONS),
+                    SILENT_CONNECTIONS);
+  consul_port_free (silent);
+  evhttp_free (server);
+}
+
 UNIT_TEST (test_malformed_responses_count_as_no_response)
 {
   static const char *const bodies[] = {
