A host that becomes a relay within a listing lists the store again

What callers saw: after all hosts of a failure domain had been killed and started again, routes that had just been added were refused by hosts that heard from their relay all the time, until the next change. It fits the users' record: full listings within 0.6 s on all hosts, and refusals later.

Cause: the roster learns of the hosts key by key, so a host that starts while their registrations are still in the store becomes a relay in the middle of its own listing. The new listing that the relay asked for there was dropped, as the end of the page ended it, and the relay took the rest of the old one for the whole: it answered with the store's revision, without the keys before the host's registrations, op/config among them. Followers that had read the store before the change took the revision and lost the change for good.

Change: a listing that a subscriber asks for is made once the reply has been delivered; a change of the watch's pace within a reply makes no second call. A relay keeps the contents from the start of a listing on, and lists again after the reply in which it became one, so that hosts which are relays only until all registrations are known list nothing.

Evidence: test_hosts_read_a_change_that_is_made_while_all_hosts_start failed before with host-0 has version 1, 3 was confirmed 3900 ms before. The host of the first such failure logged no_route version=17 revision=81 heard_ms_ago=197 heard_from=h10, and h10 itself had version 18 in force.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -34,6 +34,8 @@
   clk_ms changed_after_ms;
   clk_ms restored_ms;   /* time at which a restoration was noticed */
   clk_ms lost_after_ms; /* what it has lost was written after that */
+  bool applying;        /* a reply is being delivered to the subscribers */
+  bool relist;          /* a subscriber asked for a listing meanwhile */
   bool complete;
   bool store_reachable;
   uint32_t failures;
@@ -239,6 +241,19 @@
   end_list (mirror);
 }
 
+/* Ends the delivery of a reply.  Returns whether a subscriber asked for a new
+   listing meanwhile, which comes next then.  */
+static bool
+end_applying (struct mirror *mirror)
+{
+  bool relist = mirror->relist;
+  mirror->applying = false;
+  mirror->relist = false;
+  if (relist)
+    start_list (mirror);
+  return relist;
+}
+
 static clk_ms
 watch_delay_ms (const struct mirror *mirror)
 {
@@ -307,6 +322,7 @@
       return;
     }
   mirror->failures = 0;
+  mirror->applying = true;
   set_store_reachable (mirror, true);
   date_store_changes (mirror);
   bool has_changes = reply->item_count > 0;
@@ -323,7 +339,7 @@
     }
   if (!mirror->listing)
     notify_applied (mirror);
-  if (has_changes && !mirror->immediate)
+  if (!end_applying (mirror) && has_changes && !mirror->immediate)
     kernel_timer_set (mirror->base.kernel, &mirror->next_call_timer,
                       kernel_now (mirror->base.kernel)
                           + watch_delay_ms (mirror));
@@ -373,6 +389,7 @@
                  && platform_index_era (followed->revision) >= mirror->era;
   bool reachable = current && followed->reached;
   mirror->call = 0;
+  mirror->applying = true;
   if (current)
     apply_relay_reply (mirror, followed);
   if (reachable)
@@ -380,6 +397,7 @@
   else
     relay_failed (mirror->relay, mirror->source);
   mirror->source[0] = '\0';
+  end_applying (mirror);
   next_call (mirror);
 }
 
@@ -459,6 +477,11 @@
 void
 mirror_restart_list (struct mirror *mirror)
 {
+  if (mirror->applying)
+    {
+      mirror->relist = true;
+      return;
+    }
   cancel_call (mirror);
   start_list (mirror);
   kernel_timer_set (mirror->base.kernel, &mirror->next_call_timer,
@@ -596,6 +619,8 @@
 {
   struct kernel *kernel = mirror->base.kernel;
   mirror->immediate = immediate;
+  if (mirror->applying)
+    return; /* the next call follows the reply */
   if (immediate && mirror_follows_relay (mirror))
     {
       cancel_call (mirror);
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -143,7 +143,8 @@
    it fails too, the store counts as unreachable.  */
 void mirror_restart_watch (struct mirror *mirror);
 
-/* Lists all keys again.  */
+/* Lists all keys again; if called by a subscriber, once the present reply has
+   been delivered.  */
 void mirror_restart_list (struct mirror *mirror);
 
 /* Returns whether a full listing has been applied.  */
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -50,6 +50,7 @@
   uint32_t capacity;
   bool store_refuses;
   bool active;              /* this host is a relay and keeps the contents */
+  bool listing;             /* kept from the start of the present listing on */
   bool complete;            /* the contents of a full listing are kept */
   uint64_t purged_revision; /* removals up to it may have been dropped */
   size_t removed_count;
@@ -230,6 +231,7 @@
 {
   struct relay_item *item, *next;
   HASH_ITER (hh, relay->items, item, next) { free_item (relay, item); }
+  relay->listing = false;
   relay->complete = false;
 }
 
@@ -312,6 +314,7 @@
   struct relay *relay = arg;
   struct relay_item *item;
   relay->complete = false;
+  relay->listing = relay->active;
   for (item = relay->items; item != NULL; item = item->hh.next)
     item->listed = false;
 }
@@ -321,7 +324,8 @@
 {
   struct relay *relay = arg;
   struct relay_item *item, *next;
-  if (!relay->active)
+  /* A host that became a relay within a listing has a part of it only.  */
+  if (!relay->active || !relay->listing)
     return;
   HASH_ITER (hh, relay->items, item, next)
   {
@@ -411,7 +415,12 @@
   struct relay *relay = arg;
   struct follow_call *follow_call, *next;
   if (!relay->complete)
-    return;
+    {
+      /* It became a relay after the contents had been listed.  */
+      if (relay->active)
+        mirror_restart_list (relay->mirror);
+      return;
+    }
   DL_FOREACH_SAFE (relay->follow_calls, follow_call, next)
   {
     if (follow_call->revision < mirror_revision (relay->mirror))
@@ -484,10 +493,7 @@
              LOG_U ("serves", relay->active),
              LOG_U ("domain_hosts", all[0].domain_hosts));
   if (relay->active)
-    {
-      mirror_restart_list (relay->mirror);
-      return;
-    }
+    return;
   clear_items (relay);
   while (relay->follow_calls != NULL)
     end_follow_call (relay->follow_calls);
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -72,8 +72,9 @@
 static struct standin platform;
 static struct member members[HOSTS_MAX];
 static double begin_ms;
-static unsigned version;    /* newest acknowledged one */
-static double acked_ms;     /* of that version */
+static unsigned version; /* newest acknowledged one */
+static double acked_ms;  /* of that version */
+static double next_change_ms;
 static double store_end_ms; /* end of the store's last disturbance */
 static unsigned checks;
 static unsigned failures;
@@ -282,6 +283,15 @@
   free (body);
 }
 
+/* Kills all hosts.  The next change comes while they start, so that some read
+   the store before it and some after it.  */
+static void
+kill_all_members (void)
+{
+  disturb (kill_member, 100);
+  next_change_ms = host_now_ms () + draw (100, START_MAX_MS);
+}
+
 static void
 inject_fault (void)
 {
@@ -291,7 +301,7 @@
       disturb (kill_member, 20);
       break;
     case 1:
-      disturb (kill_member, 100);
+      kill_all_members ();
       break;
     case 2:
       disturb (freeze_member, 25);
@@ -441,21 +451,22 @@
 static bool
 play (void)
 {
-  double change_ms, fault_ms;
+  double fault_ms;
   checks = 0;
   failures = 0;
   rng_init (&rng, seed);
   begin_ms = host_now_ms ();
   start_all ();
-  change_ms = host_now_ms () + TOUCH_MS;
+  next_change_ms = host_now_ms () + TOUCH_MS;
   fault_ms = host_now_ms () + TOUCH_MS;
   double end_ms = host_now_ms () + 1e3 * options.seconds;
   while (host_now_ms () < end_ms)
     {
-      if (host_now_ms () >= change_ms)
+      if (host_now_ms () >= next_change_ms)
         {
           change_config ();
-          change_ms = host_now_ms () + draw (CHANGE_MIN_MS, CHANGE_MAX_MS);
+          next_change_ms
+              = host_now_ms () + draw (CHANGE_MIN_MS, CHANGE_MAX_MS);
         }
       if (host_now_ms () >= fault_ms)
         {
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -343,6 +343,30 @@
   change_config_in_touch ();
 }
 
+/* Guards against CONFIG: a host that became a relay in the middle of a listing
+   kept the rest of it only, and never told its followers of a change before
+   that.  */
+UNIT_TEST (test_hosts_read_a_change_that_is_made_while_all_hosts_start)
+{
+  bool relays[FLEET_HOSTS];
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    relays[i] = is_relay (i);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host_kill (fleet_host (fleet, i));
+  fleet_run (fleet, 200);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (!relays[i])
+      fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, 200);
+  fleet_change_config (fleet);
+  fleet_run (fleet, 200);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    if (relays[i])
+      fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, FLEET_TOUCH_MS + 4000);
+}
+
 /* Guards against DRAIN: the same where hosts follow relays.  */
 UNIT_TEST (test_hosts_behind_relays_follow_a_restored_store)
 {
