A relay that has not heard from the store lately says so

A relay told its followers that it reached the store by the last result of its calls: while its watch was lost, though not its other calls, or after it had stood still, they took contents of any age for the present ones, and dated the changes in them a second back.

The relay counts as one that reaches the store only while its contents have been confirmed so recently that a change would be in force in time, and its followers date changes by that age. No message changes, so versions mix.

test_hosts_leave_a_relay_whose_contents_are_not_confirmed failed before: host-0 has version 1, 3 was confirmed 3095 ms before.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -114,6 +114,13 @@
     mirror->changed_after_ms = mirror->lost_after_ms;
 }
 
+/* Returns the age up to which contents count as current.  */
+static clk_ms
+current_limit_ms (const struct mirror *mirror)
+{
+  return mirror->apply_ms / MIRROR_WAIT_DIVISOR + MIRROR_CURRENT_MARGIN_MS;
+}
+
 static void
 note_confirmed (struct mirror *mirror, clk_ms at_ms, const char *source)
 {
@@ -140,7 +147,7 @@
 {
   clk_ms since_ms = mirror->current_ms;
   if (since_ms != CLK_LONG_AGO)
-    since_ms -= MIRROR_RELAY_LAG_MS;
+    since_ms -= current_limit_ms (mirror);
   date_changes (mirror, since_ms);
   if (reachable)
     note_confirmed (mirror, kernel_now (mirror->base.kernel), mirror->source);
@@ -671,6 +678,13 @@
   return mirror->complete;
 }
 
+bool
+mirror_current (const struct mirror *mirror)
+{
+  clk_ms age_ms = kernel_now (mirror->base.kernel) - mirror->current_ms;
+  return mirror->complete && age_ms <= current_limit_ms (mirror);
+}
+
 bool
 mirror_store_reachable (const struct mirror *mirror)
 {
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -35,6 +35,9 @@
 /* Added to the wait of a watch for its timeout.  */
 #define MIRROR_WATCH_MARGIN_MS 500
 #define MIRROR_CALL_TIMEOUT_MS 1200
+/* Added to the wait for the age up to which the contents count as current: the
+   timeout of a lost watch, and time for the answer to the next one.  */
+#define MIRROR_CURRENT_MARGIN_MS 800
 /* Limits of the exponential backoff.  Refused calls have a cost too, so the
    upper limit can't be much shorter.  */
 #define MIRROR_RETRY_FIRST_MS 60
@@ -55,9 +58,6 @@
 /* Within this time of a restoration of the store, what it has lost is written
    again.  */
 #define MIRROR_REWRITTEN_MS 2500
-/* Time by which the contents of a relay may lag behind the store.  */
-#define MIRROR_RELAY_LAG_MS 1000
-
 /* Added to the wait of a call to a relay for its timeout.  */
 #define MIRROR_FOLLOW_MARGIN_MS 300
 
@@ -150,6 +150,10 @@
 /* Returns whether a full listing has been applied.  */
 bool mirror_complete (const struct mirror *mirror);
 
+/* Returns whether the contents have been confirmed so recently that a change
+   would be in force in time.  */
+bool mirror_current (const struct mirror *mirror);
+
 /* Returns whether the store, or the relay in its place, answers.  */
 bool mirror_store_reachable (const struct mirror *mirror);
 
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -366,7 +366,8 @@
 static bool
 reaches_store (const struct relay *relay)
 {
-  return mirror_store_reachable (relay->mirror) && !relay->store_refuses;
+  return mirror_store_reachable (relay->mirror)
+         && mirror_current (relay->mirror) && !relay->store_refuses;
 }
 
 static void
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -122,6 +122,7 @@
   clk_ms disturbed_ms;                 /* last time of a disturbance */
   clk_ms frozen_until_ms;              /* runs nothing before */
   bool store_cut;                      /* can't reach the store */
+  bool watches_lost;                   /* the store answers none of them */
   bool instances_cut[FLEET_INSTANCES]; /* can't reach an instance */
   struct instance_port instances;
   struct platform_port store;
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -567,8 +567,12 @@
 }
 
 static bool
-loses_call (struct fleet_store *store)
+loses_call (const struct store_call *call)
 {
+  struct fleet_store *store = call->store;
+  if (call->host != NULL && call->host->watches_lost
+      && call->call.kind == PLATFORM_WATCH)
+    return true;
   return store->lost_percent > 0
          && rng_below (&store->fleet->rng, 100) < store->lost_percent;
 }
@@ -580,7 +584,7 @@
   struct store_call *call = find_call (ref->store, ref->id);
   if (postpone (call, call_arrived, ref))
     return;
-  if (call != NULL && is_served (call) && loses_call (call->store))
+  if (call != NULL && is_served (call) && loses_call (call))
     call->lost = true;
   else if (call != NULL && is_served (call))
     run_call (call);
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -279,7 +279,7 @@
     {
       struct fleet_host *host = &fleet->hosts[i];
       if (!host->running || host->store_cut || host->peers_cut
-          || fleet_host_frozen (host))
+          || host->watches_lost || fleet_host_frozen (host))
         host->disturbed_ms = now_ms;
       if (host->running)
         check_config (host);
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -367,6 +367,20 @@
   fleet_run (fleet, FLEET_TOUCH_MS + 4000);
 }
 
+/* Guards against CONFIG: a relay whose watch was lost, but not its other
+   calls, told its followers that it reached the store.  */
+UNIT_TEST (test_hosts_leave_a_relay_whose_contents_are_not_confirmed)
+{
+  use_large_fleet ();
+  /* The contents of the relays are confirmed just before the change.  */
+  raise_revision (1);
+  fleet_run (fleet, 5);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->watches_lost = is_relay (i);
+  fleet_change_config (fleet);
+  fleet_run (fleet, FLEET_APPLY_MS + 500);
+}
+
 /* Guards against DRAIN: the same where hosts follow relays.  */
 UNIT_TEST (test_hosts_behind_relays_follow_a_restored_store)
 {
