A relay sends its whole contents to a host that read the store before it did

A relay knows the removals since its first listing only, but told hosts with an earlier revision no more than what it has: a key that was removed between the two listings stayed with the host, such as the entry of an instance that is gone, or the registration of a host.

The revision of the first listing counts as one up to which removals may have been dropped. test_hosts_learn_what_was_removed_before_their_relay_listed_the_ store failed before: host 0 knows 3 instances, of which one was removed 8 s ago.

--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -52,7 +52,8 @@
   bool active;              /* this host is a relay and keeps the contents */
   bool listing;             /* kept from the start of the present listing on */
   bool complete;            /* the contents of a full listing are kept */
-  uint64_t purged_revision; /* removals up to it may have been dropped */
+  bool knows_removals;      /* before the present listing */
+  uint64_t purged_revision; /* removals up to it may not be known */
   size_t removed_count;
   struct relay_item *items;
   struct follow_call *follow_calls;
@@ -313,6 +314,7 @@
 {
   struct relay *relay = arg;
   struct relay_item *item;
+  relay->knows_removals = relay->complete;
   relay->complete = false;
   relay->listing = relay->active;
   for (item = relay->items; item != NULL; item = item->hh.next)
@@ -332,6 +334,8 @@
     if (!item->listed && !item->removed && item->revision <= revision)
       remove_item (relay, item, revision);
   }
+  if (!relay->knows_removals)
+    relay->purged_revision = revision;
   relay->complete = true;
 }
 
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -33,7 +33,8 @@
 #define RELAY_FAILED_MS 4000
 
 /* Maximum number of removed keys that a relay keeps.  With more it drops them
-   all, and a host that missed one receives the whole contents.  */
+   all.  A host that may have missed one, or has read the store before the
+   relay's first listing, receives the whole contents.  */
 #define RELAY_MAX_REMOVED 512
 
 struct relay;
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -1,9 +1,13 @@
 /* Forwarding between hosts, admission control, relays of the store, and the
    placement of groups on hosts.  */
 
+#include "kernel/mem.h"
 #include "proxy/admission.h"
 #include "tests/fleet/fleet_unit.h"
 
+/* Of the registrations of hosts in the store.  */
+#define HOST_KEY_PREFIX "savoryway/hosts/"
+
 UNIT_TEST (test_a_host_that_cannot_reach_the_primary_forwards_to_one_that_can)
 {
   struct fleet_host *host = fleet_host (fleet, 4);
@@ -381,6 +385,59 @@
   fleet_run (fleet, FLEET_APPLY_MS + 500);
 }
 
+/* Kills the relays of one failure domain and waits until the first of them has
+   lost its registration, so that another host becomes a relay.  */
+static void
+replace_relays (void)
+{
+  struct fleet_host *killed[RELAY_HOSTS];
+  size_t count = 0;
+  for (size_t i = 0; i < FLEET_HOSTS && count < RELAY_HOSTS; i++)
+    if (i % FLEET_ZONES == 0 && is_relay (i))
+      killed[count++] = fleet_host (fleet, i);
+  for (size_t i = 0; i < count; i++)
+    fleet_host_kill (killed[i]);
+  for (;;)
+    for (size_t i = 0; i < count; i++)
+      {
+        char *key = mem_printf (HOST_KEY_PREFIX "%s", killed[i]->name);
+        bool found = fleet_store_find (fleet, key) != 0;
+        free (key);
+        if (!found)
+          return;
+        fleet_run (fleet, 1);
+      }
+}
+
+static void
+count_instance (void *arg, const struct instance_entry *entry)
+{
+  (void)entry;
+  (*(size_t *)arg)++;
+}
+
+/* Guards against DRAIN: hosts were not told of a key that had been removed
+   before their new relay listed the store.  */
+UNIT_TEST (
+    test_hosts_learn_what_was_removed_before_their_relay_listed_the_store)
+{
+  use_large_fleet ();
+  replace_relays ();
+  fleet_instance (fleet, 2)->unregistered = true;
+  fleet_publish (fleet);
+  fleet_run (fleet, 8000);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    {
+      size_t instances = 0;
+      if (!fleet_host (fleet, i)->running)
+        continue;
+      catalog_each_instance (fleet_host (fleet, i)->catalog, count_instance,
+                             &instances);
+      ck_assert_msg (instances == FLEET_INSTANCES - 1,
+                     "host %zu knows %zu instances", i, instances);
+    }
+}
+
 /* Guards against DRAIN: the same where hosts follow relays.  */
 UNIT_TEST (test_hosts_behind_relays_follow_a_restored_store)
 {
