--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <time.h>
 
 #include "../standin/standin_spawn.h"
 #include "kernel/mem.h"
@@ -205,6 +206,44 @@
   standin_stop (&fleet);
 }
 
+#define SENDERS 4
+#define FLOOD_S 10
+
+/* Sends signals to the host without a pause, in a process of its own.  */
+static pid_t
+start_sender (void)
+{
+  pid_t sender = fork ();
+  ck_assert_int_ge (sender, 0);
+  if (sender > 0)
+    return sender;
+  time_t end_s = time (NULL) + FLOOD_S;
+  while (kill (host, SIGTERM) == 0 && time (NULL) < end_s)
+    ;
+  _exit (EXIT_SUCCESS);
+}
+
+/* Guards against a leaving host that handles signals without end, and never
+   gets to its callers or to its end.  */
+UNIT_PLAIN (test_a_host_ends_in_time_under_a_flood_of_signals)
+{
+  unsigned unused_port = free_port ();
+  pid_t senders[SENDERS];
+  int status;
+  start_host (unused_port, unused_port);
+  kill (host, SIGTERM);
+  usleep (500000);
+  time_t begin_s = time (NULL);
+  for (size_t i = 0; i < SENDERS; i++)
+    senders[i] = start_sender ();
+  ck_assert_int_eq (waitpid (host, &status, 0), host);
+  ck_assert_int_lt (time (NULL) - begin_s, FLOOD_S / 2);
+  for (size_t i = 0; i < SENDERS; i++)
+    waitpid (senders[i], NULL, 0);
+  fclose (host_log);
+  ck_assert_int_eq (status, 0);
+}
+
 /* Reads the host's log up to a line that contains all of WORDS.  */
 static void
 await_log (const char *const words[], size_t count)
