A watch waits no longer than the store allows

The wait is limited to the 30 s of the store, and the model of the store rejects longer ones. test_hosts_reach_the_store_whatever_time_a_change_may_take fails without the limit.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -15,7 +15,7 @@
 {
   struct module base;
   struct platform_port *port;
-  clk_ms apply_ms; /* within which a configuration must take effect */
+  clk_ms confirm_ms; /* the contents are confirmed after this time */
   struct hosts *hosts;
   struct relay *relay;
   char source[NAME_BYTES]; /* relay of the call in flight; empty: the store */
@@ -118,7 +118,7 @@
 static clk_ms
 current_limit_ms (const struct mirror *mirror)
 {
-  return mirror->apply_ms / MIRROR_WAIT_DIVISOR + MIRROR_CURRENT_MARGIN_MS;
+  return mirror->confirm_ms + MIRROR_CURRENT_MARGIN_MS;
 }
 
 static void
@@ -436,7 +436,7 @@
 watch_wait_ms (const struct mirror *mirror)
 {
   clk_ms now_ms = kernel_now (mirror->base.kernel);
-  clk_ms due_ms = mirror->current_ms + mirror->apply_ms / MIRROR_WAIT_DIVISOR;
+  clk_ms due_ms = mirror->current_ms + mirror->confirm_ms;
   return mirror->failures > 0 || due_ms <= now_ms ? 1 : due_ms - now_ms;
 }
 
@@ -593,7 +593,9 @@
 mirror_new (struct platform_port *port, clk_ms apply_ms)
 {
   struct mirror *mirror = mem_zalloc (sizeof *mirror);
-  mirror->apply_ms = apply_ms;
+  mirror->confirm_ms = apply_ms / MIRROR_WAIT_DIVISOR;
+  if (mirror->confirm_ms > MIRROR_WAIT_LIMIT_MS)
+    mirror->confirm_ms = MIRROR_WAIT_LIMIT_MS;
   mirror->base.ops = &mirror_ops;
   mirror->base.name = "mirror";
   mirror->port = port;
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -32,6 +32,8 @@
    a configuration must take effect, so that the rest is left to replace a
    watch that was lost.  */
 #define MIRROR_WAIT_DIVISOR 2
+/* Longest wait that the store allows.  */
+#define MIRROR_WAIT_LIMIT_MS 30000
 /* Added to the wait of a watch for its timeout.  */
 #define MIRROR_WATCH_MARGIN_MS 500
 #define MIRROR_CALL_TIMEOUT_MS 1200
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -156,6 +156,7 @@
   bool unfenced;
   uint32_t sync_replicas; /* 1: a commit is acknowledged once another instance
                              has received it */
+  clk_ms apply_ms;        /* that the hosts are told; 0: FLEET_APPLY_MS */
 };
 
 struct fleet *fleet_new_with (uint64_t seed, size_t hosts,
@@ -291,6 +292,7 @@
   bool unfenced; /* the platform checks no fencing token, and an old primary
                     goes on */
   uint32_t sync_replicas;
+  clk_ms apply_ms;               /* that the hosts are told */
   uint64_t lead_term;            /* of the last promotion that took effect */
   struct position lead_start;    /* where the log of that term begins */
   uint32_t promote_lost_percent; /* of the orders, not answered; they take
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -23,6 +23,7 @@
    this time.  */
 #define KEEPALIVE_MS 3000
 #define LEASE_BYTES 24
+#define WAIT_LIMIT_MS 30000 /* of a watch */
 
 struct store_key
 {
@@ -523,6 +524,11 @@
       answer_list (call);
       return;
     case PLATFORM_WATCH:
+      if (call->call.wait_ms > WAIT_LIMIT_MS)
+        {
+          finish_status (call, PLATFORM_REJECTED);
+          return;
+        }
       call->waiting = true;
       if (!answer_watch (call))
         schedule (call, KEEPALIVE_MS, keep_alive);
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -345,8 +345,8 @@
   kernel_register (host->kernel,
                    forwarded_sessions_module (host->forwarded_sessions));
   kernel_register (host->kernel, catalog_loader_new ());
-  kernel_register (host->kernel,
-                   mirror_module (mirror_new (&host->store, FLEET_APPLY_MS)));
+  kernel_register (host->kernel, mirror_module (mirror_new (
+                                     &host->store, host->fleet->apply_ms)));
   host->running = true;
   host->frozen_until_ms = CLK_LONG_AGO;
   host->incarnation++;
@@ -414,6 +414,7 @@
   uint32_t connections = options->connections;
   fleet->unfenced = options->unfenced;
   fleet->sync_replicas = options->sync_replicas;
+  fleet->apply_ms = options->apply_ms > 0 ? options->apply_ms : FLEET_APPLY_MS;
   fleet->lead_term = 1;
   clk_virtual_init (&fleet->clk, START_MS);
   rng_init (&fleet->rng, seed);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -1055,6 +1055,25 @@
   ck_assert_uint_le (calls, FLEET_DEFAULT_HOSTS * (12 + watches + 2 + 1) + 67);
 }
 
+/* Guards against a setting that makes hosts ask for a longer wait than the
+   store allows.  */
+UNIT_TEST (test_hosts_reach_the_store_whatever_time_a_change_may_take)
+{
+  fleet_free (fleet);
+  fleet = fleet_new_with (
+      7, FLEET_DEFAULT_HOSTS,
+      &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                               .apply_ms = 3600000 });
+  fleet_run (fleet, 40000);
+  uint64_t before = fleet_store_watches (fleet);
+  fleet_run (fleet, 60000);
+  ck_assert_uint_le (fleet_store_watches (fleet) - before,
+                     3 * FLEET_DEFAULT_HOSTS);
+  for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
+    ck_assert (mirror_store_reachable ((const struct mirror *)kernel_find (
+        fleet_host (fleet, i)->kernel, "mirror")));
+}
+
 UNIT_TEST (test_connections_stay_within_the_shares_of_the_hosts)
 {
   struct fleet_caller *callers[60];
