--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -1068,7 +1068,7 @@
   uint64_t before = fleet_store_watches (fleet);
   fleet_run (fleet, 60000);
   ck_assert_uint_le (fleet_store_watches (fleet) - before,
-                     3 * FLEET_DEFAULT_HOSTS);
+                     (uintmax_t)3 * FLEET_DEFAULT_HOSTS);
   for (size_t i = 0; i < FLEET_DEFAULT_HOSTS; i++)
     ck_assert (mirror_store_reachable ((const struct mirror *)kernel_find (
         fleet_host (fleet, i)->kernel, "mirror")));
