--- a/review/world/main.c
+++ b/review/world/main.c
@@ -201,29 +201,12 @@
 #define RECOVER_MS 12000
 #define JUDGED_MS 15000
 
-/* A primary is down for a while in which the call to promote is down; later
-   all processes are killed.  */
+/* Kills all hosts, starts them again, and judges what is served later than
+   RECOVER_MS after that.  TRAFFIC_MS is the start of the traffic.  */
 static int
-play_paused (void)
+play_final_fault (double traffic_ms)
 {
   struct consumer_counts before, after;
-  consumers_start (10, 150, 1.0);
-  double traffic_ms = now_ms ();
-  play (10000);
-  if (trouble)
-    {
-      int primary = instances_leader ();
-      instances_set_call_down (true);
-      play (300);
-      instances_crash (primary);
-      play (5000);
-      instances_back (primary);
-      play (1600);
-      instances_set_call_down (false);
-    }
-  else
-    play (6900);
-  play (4000);
   instances_describe ();
   record ("the final fault");
   double fault_ms = now_ms ();
@@ -248,6 +231,31 @@
   return 4 * after.served < after.sent ? BROKEN : HELD;
 }
 
+/* A primary is down for a while in which the call to promote is down; later
+   all processes are killed.  */
+static int
+play_paused (void)
+{
+  consumers_start (10, 150, 1.0);
+  double traffic_ms = now_ms ();
+  play (10000);
+  if (trouble)
+    {
+      int primary = instances_leader ();
+      instances_set_call_down (true);
+      play (300);
+      instances_crash (primary);
+      play (5000);
+      instances_back (primary);
+      play (1600);
+      instances_set_call_down (false);
+    }
+  else
+    play (6900);
+  play (4000);
+  return play_final_fault (traffic_ms);
+}
+
 /* The primary leaves as planned; the order that promotes its successor gets no
    answer and is carried out late.  */
 static int
@@ -269,6 +277,43 @@
   return instances_lost_commits () > 0 ? BROKEN : HELD;
 }
 
+#define ODD_ENTRIES 16
+
+/* Writes entries of another writer: their capacity is a text.  Nothing listens
+   at their addresses.  */
+static void
+put_odd_entries (void)
+{
+  for (int i = 0; i < ODD_ENTRIES; i++)
+    {
+      char key[40], text[400];
+      snprintf (key, sizeof key, "servers/i-0000%02d", i);
+      snprintf (text, sizeof text,
+                "{\"service\":\"" SERVICE "\",\"address\":\"127.0.0.1:%u\","
+                "\"zone\":\"zone-%d\",\"version\":\"v1\","
+                "\"capacity\":\"many\",\"state\":\"ready\","
+                "\"cold_remaining_ms\":0,\"sequence\":1,"
+                "\"born\":1700000000000,\"db_role\":\"replica\"}",
+                free_port (), 1 + i % INSTANCES);
+      store_put (key, text);
+      record ("entry %s: %s", key, text);
+    }
+}
+
+/* Another writer leaves odd entries beside those of the instances; later all
+   processes are killed.  */
+static int
+play_odd_entries (void)
+{
+  consumers_start (10, 150, 1.0);
+  double traffic_ms = now_ms ();
+  play (8000);
+  if (trouble)
+    put_odd_entries ();
+  play (8000);
+  return play_final_fault (traffic_ms);
+}
+
 struct named_case
 {
   const char *name;
@@ -279,6 +324,7 @@
 static const struct named_case cases[] = {
   { "zero-byte", { 0, { 2, 2, 2 } }, play_zero_byte },
   { "paused", { 1, { 2, 2, 2 } }, play_paused },
+  { "odd-entries", { 0, { 2, 2, 2 } }, play_odd_entries },
   { "late", { 1, { 2, 30, 2 } }, play_late },
 };
 
