An order that is carried out late no longer discards commits

Cause: the platform refuses a late order only if its fencing token is lower than one that it has received since. All orders of one holder had the same token, so an order without an answer was carried out after a later one for another instance.

Change: late_orders keeps the orders without an answer and their tokens. An order for another instance is sent only after the holder has raised its token by writing the duty again. The instance of an outstanding order is preferred, also with synchronous replicas if its log has all commits. A primary that leads while an order for another one is outstanding is ordered itself, or with synchronous replicas the other one is. Orders are recorded in the store before they are sent, for the next holder; the record takes the place of the query that verified the duty. The model let a transaction that had written under BEGIN READ commit on a replaced primary; it doesn't any more.

--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -9,6 +9,7 @@
 #include "kernel/mutant.h"
 #include "kernel/text.h"
 #include "proxy/group.h"
+#include "proxy/late_orders.h"
 #include "proxy/permits.h"
 #include "proxy/roster.h"
 #include "proxy/status_query.h"
@@ -26,14 +27,6 @@
   CHANGE_AWAITED        /* order not refused; waits for the new primary */
 };
 
-/* An instance whose promotion was ordered without an answer.  The order may
-   still take effect until then.  */
-struct floating
-{
-  char id[NAME_BYTES];
-  clk_ms until_ms;
-};
-
 /* State of the change of one group's primary; one for each group.  */
 struct change
 {
@@ -64,7 +57,10 @@
   clk_ms accepted_ms;   /* when the order was accepted, or CLK_NEVER */
   uint64_t number;      /* of the last order */
   uint64_t read_token;  /* of this holder, when it read the record */
-  struct floating floating[ROSTER_FLOATING];
+  struct late_orders late;
+  bool unanswered;  /* the last order */
+  bool repeated;    /* it named an instance that may lead already */
+  clk_ms settle_ms; /* earliest time of the next write of the record */
   clk_ms closed_ms; /* when the group was found closed, or CLK_NEVER */
   struct status_query *query;
   UT_hash_handle hh;
@@ -124,43 +120,20 @@
 
 /* Returns the order for another instance than ID that may still take effect,
    or NULL.  */
-static struct floating *
-floating_other (struct change *change, const char *id)
+static const struct late_order *
+late_other (const struct change *change, const char *id)
 {
-  for (size_t i = 0; i < ROSTER_FLOATING; i++)
-    {
-      struct floating *order = &change->floating[i];
-      if (order->until_ms > now_ms (change) && strcmp (order->id, id) != 0
-          && !MUTANT (forget_late_promote))
-        return order;
-    }
-  return NULL;
-}
-
-static bool
-is_floating (const struct change *change, const char *id)
-{
-  for (size_t i = 0; i < ROSTER_FLOATING; i++)
-    if (change->floating[i].until_ms > now_ms (change)
-        && strcmp (change->floating[i].id, id) == 0)
-      return true;
-  return false;
+  return late_orders_other (&change->late, id, now_ms (change));
 }
 
-/* Notes that the order for ID may take effect for PROMOTER_LATE_MS.  It takes
-   the place of an earlier one for ID, or of the one that ends first.  */
+/* Notes that the order for ID with TOKEN may take effect late.  */
 static void
-add_floating (struct change *change, const char *id)
+add_late (struct change *change, const char *id, uint64_t token)
 {
-  struct floating *order = &change->floating[0];
-  for (size_t i = 1; i < ROSTER_FLOATING; i++)
-    if (change->floating[i].until_ms < order->until_ms)
-      order = &change->floating[i];
-  for (size_t i = 0; i < ROSTER_FLOATING; i++)
-    if (strcmp (change->floating[i].id, id) == 0)
-      order = &change->floating[i];
-  text_copy (order->id, sizeof order->id, id);
-  order->until_ms = now_ms (change) + PROMOTER_LATE_MS;
+  clk_ms until_ms = permits_fenced (change->promoter->permits)
+                        ? CLK_NEVER
+                        : now_ms (change) + PROMOTER_LATE_MS;
+  late_orders_add (&change->late, id, token, now_ms (change), until_ms);
 }
 
 static void
@@ -173,8 +146,15 @@
                                        [PROMOTE_NOT_DONE] = "not_done",
                                        [PROMOTE_UNKNOWN] = "unknown" };
   log_change (change, "promotion_answer", names[result]);
+  change->unanswered = result == PROMOTE_UNKNOWN;
   if (result == PROMOTE_UNKNOWN)
-    add_floating (change, change->chosen);
+    {
+      add_late (change, change->chosen, change->token);
+      metrics_increment (kernel_metrics (promoter->base.kernel),
+                         "promotions_unanswered_total");
+    }
+  else if (result == PROMOTE_ACCEPTED && permits_fenced (promoter->permits))
+    late_orders_fence (&change->late, change->token);
   if (change->stage != CHANGE_ORDERED)
     return;
   switch (result)
@@ -221,6 +201,13 @@
                                         token, on_promoted, change);
 }
 
+static void
+add_to_record (struct roster_record *record, const char *id)
+{
+  if (record->floating_count < ROSTER_FLOATING)
+    text_copy (record->floating[record->floating_count++], NAME_BYTES, id);
+}
+
 static void
 record_order (struct change *change)
 {
@@ -228,42 +215,65 @@
       = { .number = change->number, .floor = change->floor };
   text_copy (record.group, sizeof record.group, change->group);
   text_copy (record.candidate, sizeof record.candidate, change->chosen);
+  if (permits_fenced (change->promoter->permits))
+    add_to_record (&record, change->chosen);
   for (size_t i = 0; i < ROSTER_FLOATING; i++)
-    if (change->floating[i].until_ms > now_ms (change)
-        && strcmp (change->floating[i].id, change->chosen) != 0)
-      memcpy (record.floating[record.floating_count++], change->floating[i].id,
-              NAME_BYTES);
+    if (change->late.items[i].until_ms > now_ms (change)
+        && strcmp (change->late.items[i].id, change->chosen) != 0)
+      add_to_record (&record, change->late.items[i].id);
   roster_record_order (change->promoter->roster, &record, on_verified, change);
 }
 
 static void
-order_promotion (struct change *change, const char *id)
+on_token_raised (void *arg, bool held)
+{
+  struct change *change = arg;
+  uint64_t token;
+  if (change->stage != CHANGE_VERIFYING)
+    return;
+  if (!held || !roster_holds_duty (change->promoter->roster, &token))
+    {
+      abort_change (change, "the fencing token was not raised",
+                    PROMOTER_RETRY_MS);
+      return;
+    }
+  change->read_token = token;
+  record_order (change);
+}
+
+/* Orders the promotion of ID.  Orders that may still be carried out, except
+   those for the instance SPARED, must have a lower token, so that this one
+   fences them.  */
+static void
+order_with_fence (struct change *change, const char *id, const char *spared)
 {
   struct promoter *promoter = change->promoter;
+  uint64_t token;
   text_copy (change->chosen, sizeof change->chosen, id);
   set_stage (change, CHANGE_VERIFYING);
+  change->repeated = late_orders_has (&change->late, id, now_ms (change))
+                     || strcmp (spared, id) != 0;
+  change->number++;
+  change->accepted_ms = CLK_NEVER;
   if (permits_fenced (promoter->permits))
     {
-      roster_verify_duty (promoter->roster, on_verified, change);
+      if (roster_holds_duty (promoter->roster, &token)
+          && late_orders_share_token (&change->late, spared, token,
+                                      now_ms (change)))
+        roster_raise_token (promoter->roster, on_token_raised, change);
+      else
+        record_order (change);
       return;
     }
-  change->number++;
   change->ordered = true;
   change->confirmed = false;
-  change->accepted_ms = CLK_NEVER;
   record_order (change);
 }
 
-/* Returns the row of an instance whose promotion was ordered already and may
-   still take effect, or NULL.  Any other one could lose the lead to it.  */
-static const struct status_row *
-ordered_before (const struct change *change, const struct status_row *rows,
-                size_t count)
+static void
+order_promotion (struct change *change, const char *id)
 {
-  for (size_t i = 0; i < count; i++)
-    if (rows[i].answered && is_floating (change, rows[i].id))
-      return &rows[i];
-  return NULL;
+  order_with_fence (change, id, id);
 }
 
 /* Returns the newest term that an instance has reported.  */
@@ -297,13 +307,17 @@
 }
 
 /* Returns the row with the most advanced log, the newest term first, or NULL
-   if no instance answered.  */
+   if no instance answered.  With LATE, only of those whose promotion was
+   ordered already and may still take effect.  */
 static const struct status_row *
-most_advanced (const struct status_row *rows, size_t count)
+most_advanced (const struct change *change, const struct status_row *rows,
+               size_t count, bool late)
 {
   const struct status_row *best = NULL;
   for (size_t i = 0; i < count; i++)
     if (rows[i].answered
+        && (!late
+            || late_orders_has (&change->late, rows[i].id, now_ms (change)))
         && (best == NULL
             || position_compare (rows[i].status.received,
                                  best->status.received)
@@ -392,13 +406,29 @@
     abort_change (change, "a replica could not be paused", PROMOTER_RETRY_MS);
 }
 
+/* Returns the instance to be promoted: BEST, or one whose promotion was
+   ordered already and may still take effect, as any other could lose the lead
+   to it. With synchronous replicas it must have all commits of BEST.  */
+static const struct status_row *
+prefer_ordered (const struct change *change, const struct group *group,
+                const struct status_row *rows, size_t count,
+                const struct status_row *best)
+{
+  const struct status_row *late = most_advanced (change, rows, count, true);
+  if (late == NULL || has_old_term (change, group, &late->status))
+    return best;
+  if (group_settings (group)->sync_replicas > 0
+      && position_compare (late->status.received, best->status.received) < 0)
+    return best;
+  return late;
+}
+
 static void
 on_positions (void *arg, const struct status_row *rows, size_t count)
 {
   struct change *change = arg;
   struct group *group = group_of (change);
-  const struct status_row *best = most_advanced (rows, count);
-  const struct status_row *before = ordered_before (change, rows, count);
+  const struct status_row *best = most_advanced (change, rows, count, false);
   change->query = NULL;
   if (best == NULL || group == NULL)
     {
@@ -436,8 +466,7 @@
                     PROMOTER_RETRY_MS);
       return;
     }
-  if (before != NULL && group_settings (group)->sync_replicas == 0)
-    best = before;
+  best = prefer_ordered (change, group, rows, count, best);
   set_floor (change, group, best, rows, count);
   order_promotion (change, best->id);
 }
@@ -531,7 +560,7 @@
 {
   struct change *change = arg;
   struct group *group = group_of (change);
-  const struct status_row *best = most_advanced (rows, count);
+  const struct status_row *best = most_advanced (change, rows, count, false);
   change->query = NULL;
   note_terms (change, rows, count);
   if (group == NULL || best == NULL
@@ -595,7 +624,7 @@
   log_change (change, "promotion_begun", hand_over ? "hand_over" : "failover");
   /* A primary that steps down needs no recall, unless another order may still
      replace its successor.  */
-  if (hand_over && floating_other (change, "") == NULL)
+  if (hand_over && late_other (change, "") == NULL)
     {
       check_replicas (change, group);
       return;
@@ -618,6 +647,19 @@
   return false;
 }
 
+/* Orders the primary itself: that changes nothing, but the platform then
+   refuses the orders that may still be carried out.  */
+static void
+fence_late_orders (struct change *change, struct backend *leader)
+{
+  change->why = "an order without an answer may take effect";
+  change->hand_over = false;
+  change->started_ms = now_ms (change);
+  change->old[0] = '\0';
+  change->floor = backend_position (leader).term;
+  order_with_fence (change, backend_entry (leader)->id, "");
+}
+
 /* Called while the holder of the duty reaches the primary.  Starts a hand-over
    if one is needed.  */
 static void
@@ -635,11 +677,17 @@
   bool partly_cut = change->partly_cut_since_ms != CLK_NEVER
                     && now_ms (change) - change->partly_cut_since_ms
                            >= PROMOTER_PARTIAL_CUT_MS;
-  if (!has_candidate (group, leader))
+  if (!has_candidate (group, leader)
+      || (!backend_entry (leader)->draining && !partly_cut))
     return;
-  if (backend_entry (leader)->draining)
+  /* While it steps down, an earlier order could make it lead again.  */
+  if (permits_fenced (change->promoter->permits)
+      && group_settings (group)->sync_replicas > 0
+      && late_other (change, "") != NULL)
+    fence_late_orders (change, leader);
+  else if (backend_entry (leader)->draining)
     start_change (change, leader, true, "the primary is leaving");
-  else if (partly_cut)
+  else
     start_change (change, leader, true, "many hosts can't reach the primary");
 }
 
@@ -761,7 +809,7 @@
   if (leader == NULL || !backend_usable (leader)
       || !group_leader_proven (group)
       || (change->ordered && !has_new_primary (change, group))
-      || floating_other (change, backend_entry (leader)->id) != NULL)
+      || late_other (change, backend_entry (leader)->id) != NULL)
     return false;
   permits_open (permits, change->group, backend_entry (leader)->id);
   if (change->ordered)
@@ -770,6 +818,21 @@
   return true;
 }
 
+/* Takes over what earlier holders of the duty have ordered, where the platform
+   fences.  What this host ordered before one of them is fenced.  */
+static void
+inherit_orders (struct change *change)
+{
+  struct roster_record record;
+  if (!roster_find_record (change->promoter->roster, change->group, &record))
+    return;
+  if (record.number != change->number)
+    change->late = (struct late_orders){ 0 };
+  change->number = record.number;
+  for (size_t i = 0; i < record.floating_count; i++)
+    add_late (change, record.floating[i], 0);
+}
+
 /* Takes over what earlier holders of the duty have ordered, when this host has
    acquired it.  */
 static void
@@ -777,9 +840,14 @@
 {
   struct roster_record record;
   struct promoter *promoter = change->promoter;
-  if (permits_fenced (promoter->permits) || change->read_token == token)
+  if (change->read_token == token)
     return;
   change->read_token = token;
+  if (permits_fenced (promoter->permits))
+    {
+      inherit_orders (change);
+      return;
+    }
   change->ordered = change->confirmed = false;
   change->accepted_ms = CLK_NEVER;
   change->number = permits_number (promoter->permits, change->group);
@@ -793,9 +861,9 @@
     return;
   change->floor = record.floor;
   text_copy (change->chosen, sizeof change->chosen, record.candidate);
-  add_floating (change, record.candidate);
+  add_late (change, record.candidate, 0);
   for (size_t i = 0; i < record.floating_count; i++)
-    add_floating (change, record.floating[i]);
+    add_late (change, record.floating[i], 0);
 }
 
 /* Called while the hosts may not use a primary of GROUP.  Returns whether to
@@ -832,6 +900,87 @@
     continue_recall (change, group);
 }
 
+/* Writes that LEADER leads and that no order is outstanding, if the record
+   says otherwise.  */
+static void
+settle_fenced (struct change *change, struct backend *leader)
+{
+  struct roster_record record;
+  struct roster *roster = change->promoter->roster;
+  const char *id = backend_entry (leader)->id;
+  uint64_t term = backend_position (leader).term;
+  if (now_ms (change) < change->settle_ms
+      || !roster_find_record (roster, change->group, &record)
+      || (record.floating_count == 0 && record.floor >= term
+          && strcmp (record.candidate, id) == 0))
+    return;
+  if (strcmp (record.candidate, id) != 0 || record.floor < term)
+    record.floor = term;
+  text_copy (record.candidate, sizeof record.candidate, id);
+  record.floating_count = 0;
+  change->settle_ms = now_ms (change) + PROMOTER_SETTLE_MS;
+  roster_record_order (roster, &record, ignore_result, change);
+}
+
+/* Returns whether INSTANCE is registered in GROUP.  */
+static bool
+is_registered (struct group *group, const char *instance)
+{
+  struct backend *all[GROUP_INSTANCES];
+  size_t count = group_instances (group, all);
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (backend_entry (all[i])->id, instance) == 0)
+      return true;
+  return false;
+}
+
+/* Called where the platform fences, while a primary can be used.  Returns
+   whether a change has begun since an order for another instance may still
+   take effect.  With synchronous replicas that instance is promoted: LEADER
+   acknowledges no commit before, as the replicas are paused.  */
+static bool
+settle (struct change *change, struct group *group, struct backend *leader)
+{
+  const struct late_order *other;
+  if (!permits_fenced (change->promoter->permits)
+      || !group_leader_proven (group))
+    return false;
+  late_orders_note_primary (&change->late, backend_entry (leader)->id,
+                            now_ms (change));
+  other = late_other (change, backend_entry (leader)->id);
+  if (other == NULL)
+    {
+      settle_fenced (change, leader);
+      return false;
+    }
+  if (group_settings (group)->sync_replicas > 0
+      && is_registered (group, other->id))
+    start_change (change, leader, false,
+                  "an order without an answer may take effect");
+  else
+    fence_late_orders (change, leader);
+  return true;
+}
+
+/* Returns how long the new primary is waited for.  */
+static clk_ms
+effect_timeout_ms (const struct change *change)
+{
+  return change->unanswered && permits_fenced (change->promoter->permits)
+             ? PROMOTER_RETRY_MS
+             : PROMOTER_EFFECT_TIMEOUT_MS;
+}
+
+/* Returns when the primary may be changed again.  If it led before the last
+   order, that one still takes effect.  */
+static clk_ms
+next_change_ms (const struct change *change)
+{
+  return change->repeated && change->accepted_ms != CLK_NEVER
+             ? change->accepted_ms + PROMOTER_EFFECT_MS
+             : now_ms (change);
+}
+
 /* Monitors GROUP on the host that holds the duty.  */
 static void
 monitor_group (struct change *change, struct group *group, uint64_t token)
@@ -850,14 +999,14 @@
         {
           log_change (change, "promotion_done", change->chosen);
           change->first_attempt_ms = CLK_NEVER;
-          change->next_ms = now_ms (change);
+          change->next_ms = next_change_ms (change);
           if (change->floor > change->led_term)
             change->led_term = change->floor;
           set_stage (change, CHANGE_NONE);
           try_to_open (change, group);
         }
       else if (now_ms (change) - change->stage_ms
-               >= PROMOTER_EFFECT_TIMEOUT_MS)
+               >= effect_timeout_ms (change))
         abort_change (change, "the promotion had no effect", 0);
       return;
     }
@@ -874,7 +1023,8 @@
   else if (backend_usable (leader))
     {
       change->first_attempt_ms = CLK_NEVER;
-      consider_hand_over (change, group, leader);
+      if (!settle (change, group, leader))
+        consider_hand_over (change, group, leader);
     }
   else
     consider_failover (change, group, leader);
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -10,11 +10,15 @@
      of the hosts can't reach it while the holder can.  The primary steps down,
      another instance receives the rest of its log, and that one is promoted.
 
+   Each order is recorded in the store before it is sent, and an order without
+   an answer may take effect late (see late_orders.h): its instance is
+   preferred in the next change.  Where the platform fences, an order for
+   another instance has a higher token, and a primary is ordered once more if
+   an order for another one is outstanding.
+
    Where the platform fences no old primaries, a failover first recalls the
-   primary from all hosts (see permits.h).  Each order is recorded in the store
-   before it is sent, and an order without an answer may take effect late: its
-   instance is preferred in the next change, and the primary of another one is
-   used only after PROMOTER_LATE_MS.
+   primary from all hosts (see permits.h), and while an order for another
+   instance is outstanding, a primary is used only after PROMOTER_LATE_MS.
 
    In groups in which commits wait for a replica, a failover first makes all
    other instances stop receiving the log and report their positions, so that
@@ -69,7 +73,11 @@
    instance that leads may have been replaced already.  */
 #define PROMOTER_EFFECT_MS 1500
 
-/* An order without an answer may still take effect for this long.  */
+/* Interval of the attempts to record that an order has taken effect.  */
+#define PROMOTER_SETTLE_MS 1000
+
+/* Where the platform checks no token, an order without an answer may still
+   take effect for this long.  */
 #define PROMOTER_LATE_MS 8000
 
 /* A promotion that an earlier holder of the duty has ordered gets this long to
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -410,7 +410,7 @@
   if (roster->leaving)
     return;
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "old_duty_removed",
-             LOG_S ("holder", key->value), LOG_U ("token", key->created));
+             LOG_S ("holder", key->value), LOG_U ("token", key->revision));
   roster_write_key (roster, "duty", NULL, DUTY_KEY, NULL, key->revision,
                     on_old_duty_removed, roster);
 }
@@ -429,13 +429,13 @@
     ensure_secret (roster);
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty",
              LOG_S ("holder", key != NULL ? key->value : NULL),
-             LOG_U ("token", key != NULL ? key->created : 0),
+             LOG_U ("token", key != NULL ? key->revision : 0),
              LOG_U ("mine", mine));
   roster->removed_duty &= key == NULL;
   groups_set_monitoring (roster->groups, mine);
   mirror_set_immediate (roster->mirror, mine);
   permits_note_duty (roster->permits, holder_name (key, holder),
-                     key != NULL ? key->created : 0);
+                     key != NULL ? key->revision : 0);
   if (key == NULL && roster->removed_duty)
     roster_claim_within (roster, 1);
   else if (key == NULL)
--- a/src/proxy/roster.h
+++ b/src/proxy/roster.h
@@ -4,8 +4,9 @@
    Each host keeps its registration and its reports under a lease of its own,
    so that they expire when the host dies.  One host at a time holds the
    promotion duty, a key under a shorter lease.  The fencing token of the duty
-   is the index at which its key was created, so it rises with each holder,
-   also when the store was restored from an older copy.  A conditional write
+   is the index at which its key was written last, so it rises with each
+   holder, also when the store was restored from an older copy.  The holder
+   raises it by writing the key again.  A conditional write
    that refers to an earlier era may succeed by accident; it does no harm,
    since a host replaces only its own keys, and creates the others.
 
@@ -111,20 +112,17 @@
    hold it.  */
 bool roster_duty_leased (const struct roster *roster);
 
-/* Queries the store for the holder of the duty and passes to DONE whether it
-   is still this host.  If the store does not answer, HELD is what
-   roster_holds_duty returns.  */
+/* Receives whether this host still holds the duty.  */
 typedef void (*roster_verify_done) (void *arg, bool held);
-void roster_verify_duty (struct roster *roster, roster_verify_done done,
-                         void *arg);
 
 /* Maximum number of instances with an order that may still take effect.  */
 #define ROSTER_FLOATING 3
 
 /* An order to promote, recorded before it is sent, so that later holders of
    the duty know of it.  NUMBER rises with each order of a group.  FLOATING are
-   other instances whose promotion was ordered before without an answer,
-   and may still take effect.  */
+   instances with an order that may still take effect: others whose promotion
+   was ordered before without an answer and, where the platform fences, the
+   candidate until it leads.  There FLOOR is kept when it leads.  */
 struct roster_record
 {
   char group[NAME_BYTES];
@@ -136,11 +134,20 @@
 };
 
 /* Writes RECORD, provided that this host still holds the duty, and passes to
-   DONE whether it was written and the lease of the duty is valid.  */
+   DONE whether it was written and the lease of the duty is valid.  Where the
+   platform fences, it refuses an order of an earlier holder; if the store does
+   not answer there, HELD is what roster_holds_duty returns.  */
 void roster_record_order (struct roster *roster,
                           const struct roster_record *record,
                           roster_verify_done done, void *arg);
 
+/* Raises the fencing token of the duty that this host holds.  Once the
+   platform has received an order with the new token, it refuses orders with an
+   earlier one that it has not carried out yet.  HELD is false if the token was
+   not raised.  */
+void roster_raise_token (struct roster *roster, roster_verify_done done,
+                         void *arg);
+
 /* Calls FN for each record in the store.  */
 void roster_each_record (struct roster *roster,
                          void (*fn) (void *arg,
--- a/src/proxy/roster_duty.c
+++ b/src/proxy/roster_duty.c
@@ -22,14 +22,23 @@
          && 2 * counts.domains_reporting > counts.domains;
 }
 
+uint64_t
+roster_token_of (const struct roster *roster, const struct roster_key *duty)
+{
+  return duty->created == roster->raised_index
+                 && duty->revision < roster->raised_token
+             ? roster->raised_token
+             : duty->revision;
+}
+
 bool
 roster_duty_kept (const struct roster *roster, uint64_t *token)
 {
   const struct roster_key *key = roster_find_key (roster, DUTY_KEY);
   if (key == NULL || roster->leaving || strcmp (key->value, roster->self) != 0
-      || key->created == roster->resigned_token)
+      || key->created == roster->resigned_index)
     return false;
-  *token = key->created;
+  *token = roster_token_of (roster, key);
   return true;
 }
 
@@ -191,9 +200,10 @@
   if (key == NULL || strcmp (key->value, roster->self) != 0)
     return;
   log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "duty_given_up",
-             LOG_S ("why", why), LOG_U ("token", key->created));
+             LOG_S ("why", why),
+             LOG_U ("token", roster_token_of (roster, key)));
   /* The lease may still be valid, and its release may fail.  */
-  roster->resigned_token = key->created;
+  roster->resigned_index = key->created;
   roster->resign_until_ms = roster_now (roster) + ROSTER_RESIGN_BACKOFF_MS;
   lease_release (roster->duty_lease);
 }
@@ -227,41 +237,43 @@
 }
 
 static void
-on_verify_reply (void *arg, const struct platform_reply *reply)
+on_raised (void *arg, const struct platform_reply *reply)
 {
   struct verification *check = arg;
   struct roster *roster = check->roster;
   uint64_t token;
-  bool held = roster_holds_duty (roster, &token);
-  if (reply->status == PLATFORM_OK && reply->item_count == 1)
-    held = held && strcmp (reply->items[0].value, roster->self) == 0
-           && reply->items[0].created == token;
-  else if (reply->status == PLATFORM_NOT_FOUND)
-    held = false;
-  roster_end_verification (check, held);
+  roster_note_reply (roster, reply);
+  if (reply->status == PLATFORM_OK)
+    {
+      mirror_expect (roster->mirror, reply->index);
+      roster->raised_index = check->created;
+      roster->raised_token = reply->index;
+      log_event (kernel_log (roster->base.kernel), LOG_NOTICE, "token_raised",
+                 LOG_U ("token", reply->index));
+      metrics_increment (kernel_metrics (roster->base.kernel),
+                         "tokens_raised_total");
+    }
+  roster_end_verification (check, reply->status == PLATFORM_OK
+                                      && roster_holds_duty (roster, &token));
 }
 
-/* Decides from the local state while the store is unavailable.  */
 static void
-verify_locally (void *arg)
+refuse (void *arg)
 {
-  struct verification *check = arg;
-  uint64_t token;
-  roster_end_verification (check, roster_holds_duty (check->roster, &token));
+  roster_end_verification (arg, false);
 }
 
 void
-roster_verify_duty (struct roster *roster, roster_verify_done done, void *arg)
+roster_raise_token (struct roster *roster, roster_verify_done done, void *arg)
 {
   struct verification *check = roster_begin_verification (roster, done, arg);
-  struct platform_call call = { .kind = PLATFORM_GET,
-                                .purpose = "duty_verify",
-                                .key = DUTY_KEY,
-                                .timeout_ms = ROSTER_CALL_TIMEOUT_MS };
-  if (roster->store_refuses)
+  const struct roster_key *duty = roster_find_key (roster, DUTY_KEY);
+  if (duty == NULL || !lease_valid (roster->duty_lease))
     {
-      kernel_defer (roster->base.kernel, verify_locally, check);
+      kernel_defer (roster->base.kernel, refuse, check);
       return;
     }
-  roster->store->ops->call (roster->store, &call, on_verify_reply, check);
+  check->created = duty->created;
+  roster_write_key (roster, "duty", roster->duty_lease, DUTY_KEY, roster->self,
+                    roster_token_of (roster, duty), on_raised, check);
 }
--- a/src/proxy/roster_impl.h
+++ b/src/proxy/roster_impl.h
@@ -29,11 +29,14 @@
 
 #define KEY_BYTES 200
 
+/* Large enough for two numbers and the names of a roster_record.  */
+#define ROSTER_VALUE_BYTES ((size_t)5 * NAME_BYTES)
+
 /* The last known state of a key in the store.  */
 struct roster_key
 {
   char name[KEY_BYTES];
-  char value[3 * NAME_BYTES];
+  char value[ROSTER_VALUE_BYTES];
   uint64_t revision;
   uint64_t created;
   bool listed;             /* seen in the current full listing */
@@ -71,12 +74,13 @@
   UT_hash_handle hh;
 };
 
-/* A query of the store for the holder of the duty.  */
+/* A call to the store that verifies that this host holds the duty.  */
 struct verification
 {
   struct roster *roster;
   roster_verify_done done;
   void *arg;
+  uint64_t created; /* index of the duty's creation */
   struct verification *prev;
   struct verification *next;
 };
@@ -110,7 +114,9 @@
   bool claim_checks;       /* waits for changes before it claims the duty */
   bool removed_duty;       /* of an earlier process of this host */
   clk_ms resign_until_ms;  /* no claim of the duty before this */
-  uint64_t resigned_token; /* token of the duty resigned last */
+  uint64_t resigned_index; /* creation of the duty resigned last */
+  uint64_t raised_index;   /* creation of the duty whose token was raised */
+  uint64_t raised_token;   /* that token, also before it is read back */
   bool leaving;
   uint64_t registered;  /* revision of this process's registration */
   clk_ms registered_ms; /* when it was confirmed */
@@ -151,6 +157,9 @@
 void roster_track_report (struct roster *roster, const char *name);
 
 /* roster_duty.c */
+/* Returns the fencing token of DUTY, the duty's key.  */
+uint64_t roster_token_of (const struct roster *roster,
+                          const struct roster_key *duty);
 /* Starts a verification that ends with DONE (ARG).  */
 struct verification *roster_begin_verification (struct roster *roster,
                                                 roster_verify_done done,
--- a/src/proxy/roster_records.c
+++ b/src/proxy/roster_records.c
@@ -69,24 +69,52 @@
   return key != NULL && parse_record (key, record);
 }
 
+/* Returns whether this host may still order, after a write of the record that
+   ended with STATUS.  */
+static bool
+may_order (const struct roster *roster, enum platform_status status)
+{
+  uint64_t token;
+  if (!roster_holds_duty (roster, &token))
+    return false;
+  if (!permits_fenced (roster->permits))
+    return status == PLATFORM_OK && roster_duty_leased (roster);
+  return status != PLATFORM_CONFLICT && status != PLATFORM_NOT_FOUND;
+}
+
 static void
 on_recorded (void *arg, const struct platform_reply *reply)
 {
   struct verification *check = arg;
   struct roster *roster = check->roster;
-  uint64_t token;
   roster_note_reply (roster, reply);
   if (reply->status == PLATFORM_OK)
     mirror_expect (roster->mirror, reply->index);
-  roster_end_verification (check, reply->status == PLATFORM_OK
-                                      && roster_holds_duty (roster, &token)
-                                      && roster_duty_leased (roster));
+  roster_end_verification (check, may_order (roster, reply->status));
 }
 
+/* Decides without the store.  */
 static void
-refuse (void *arg)
+decide_locally (void *arg)
 {
-  roster_end_verification (arg, false);
+  struct verification *check = arg;
+  roster_end_verification (check,
+                           may_order (check->roster, PLATFORM_UNAVAILABLE));
+}
+
+/* Prints RECORD as the value of its key.  Returns false if it does not fit. */
+static bool
+print_record (const struct roster_record *record,
+              char value[ROSTER_VALUE_BYTES])
+{
+  size_t used = (size_t)snprintf (value, ROSTER_VALUE_BYTES,
+                                  "%" PRIu64 " %" PRIu64 " %s", record->number,
+                                  record->floor, record->candidate);
+  for (size_t i = 0; i < record->floating_count && used < ROSTER_VALUE_BYTES;
+       i++)
+    used += (size_t)snprintf (value + used, ROSTER_VALUE_BYTES - used, " %s",
+                              record->floating[i]);
+  return used < ROSTER_VALUE_BYTES;
 }
 
 void
@@ -95,22 +123,19 @@
 {
   struct verification *check = roster_begin_verification (roster, done, arg);
   const struct roster_key *duty = roster_find_key (roster, DUTY_KEY);
-  char name[KEY_BYTES], value[sizeof duty->value];
-  size_t used
-      = (size_t)snprintf (value, sizeof value, "%" PRIu64 " %" PRIu64 " %s",
-                          record->number, record->floor, record->candidate);
-  for (size_t i = 0; i < record->floating_count && used < sizeof value; i++)
-    used += (size_t)snprintf (value + used, sizeof value - used, " %s",
-                              record->floating[i]);
-  if (duty == NULL || used >= sizeof value
+  char name[KEY_BYTES], value[ROSTER_VALUE_BYTES];
+  bool unavailable = permits_fenced (roster->permits) && roster->store_refuses;
+  if (duty == NULL || unavailable || !print_record (record, value)
       || !record_key (record->group, name))
     {
-      kernel_defer (roster->base.kernel, refuse, check);
+      kernel_defer (roster->base.kernel, decide_locally, check);
       return;
     }
   const struct roster_key *old = roster_find_key (roster, name);
   struct platform_write writes[] = {
-    { .key = DUTY_KEY, .expect_index = duty->revision, .check = true },
+    { .key = DUTY_KEY,
+      .expect_index = roster_token_of (roster, duty),
+      .check = true },
     { .key = name,
       .value = value,
       .value_bytes = strlen (value),
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -378,6 +378,8 @@
   struct position lead_start;    /* where the log of that term begins */
   uint32_t promote_lost_percent; /* of the orders, not answered; they take
                                     effect late or never */
+  clk_ms promote_late_ms;        /* after which those take effect; 0: drawn */
+  struct fleet_instance *promote_lost; /* that the last of those named */
   struct ktimer tick;
   clk_ms store_disturbed_ms; /* last time of a disturbance of the store */
   uint64_t config_version;   /* that the operator wrote last */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -558,7 +558,7 @@
   check_drained (link, sent);
   link->answer = (struct answer){ .code = CODE_OK, .has_position = true };
   link->lose_answer = link->unacknowledged = false;
-  if (link->state == TX_OPEN && link->read_write
+  if (link->state == TX_OPEN && (link->read_write || link->wrote)
       && !link->instance->is_primary)
     link->demoted = true;
   switch (sent->kind)
@@ -779,9 +779,12 @@
   struct fleet *fleet = request->fleet;
   struct promotion_request *waiting = mem_zalloc (sizeof *waiting);
   request->unanswered = true;
+  fleet->promote_lost = &fleet->instances[request->instance];
   *waiting = *request;
   fleet_schedule (fleet, ORDER_TIMEOUT_MS, order_times_out, waiting);
-  if (rng_below (&fleet->rng, 3) == 0)
+  if (fleet->promote_late_ms > 0)
+    fleet_schedule (fleet, fleet->promote_late_ms, arrived, request);
+  else if (rng_below (&fleet->rng, 3) == 0)
     free (request);
   else
     fleet_schedule (fleet, (clk_ms)rng_below (&fleet->rng, LATE_LIMIT_MS),
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -689,6 +689,74 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which commits wait for another instance, and orders to promote
+   get no answer and take effect late.  Primaries announce that they leave or
+   can't be reached, and the holder of the duty restarts or resigns.  */
+#define SYNC_LATE_SEEDS 40
+#define SYNC_LATE_LENGTH 5
+#define SYNC_LATE_ROUNDS 4
+
+static void
+resign_holder (struct schedule *s)
+{
+  uint64_t token;
+  for (size_t i = 0; i < s->fleet->host_count; i++)
+    if (roster_holds_duty (fleet_host (s->fleet, i)->roster, &token))
+      {
+        roster_resign_duty (fleet_host (s->fleet, i)->roster, "test");
+        return;
+      }
+}
+
+/* Makes the primary leave, or cuts it off if CUT, for a while in which orders
+   get no answer.  */
+static void
+lose_orders (struct schedule *s, bool cut)
+{
+  struct fleet_instance *primary = fleet_primary (s->fleet);
+  if (primary == NULL)
+    return;
+  s->fleet->promote_lost_percent = 70;
+  primary->draining = !cut;
+  primary->unreachable = cut;
+  fleet_publish (s->fleet);
+  run_in_turns (s, 300 + (clk_ms)below (s, 1500));
+  if (below (s, 4) == 0)
+    restart_holder (s);
+  else if (below (s, 4) == 0)
+    resign_holder (s);
+  run_in_turns (s, (clk_ms)below (s, 1500));
+  s->fleet->promote_lost_percent = 0;
+  primary->draining = primary->unreachable = false;
+  fleet_publish (s->fleet);
+}
+
+static void
+run_sync_late (uint64_t seed)
+{
+  struct schedule s
+      = { .fleet = fleet_new_with (
+              seed, FLEET_DEFAULT_HOSTS,
+              &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                                       .sync_replicas = 1 }),
+          .restarts = true };
+  rng_init (&s.rng, seed + 8000000);
+  fleet_run (s.fleet, 5000);
+  for (int round = 0; round < SYNC_LATE_ROUNDS; round++)
+    {
+      run_in_turns (&s, 1000);
+      for (uint64_t left = 1 + below (&s, 2); left > 0; left--)
+        {
+          lose_orders (&s, below (&s, 2) == 0);
+          run_in_turns (&s, 500 + (clk_ms)below (&s, 2000));
+        }
+      run_in_turns (&s, 5000);
+    }
+  ck_assert_msg (fleet_violation (s.fleet) == NULL, "seed %llu: %s",
+                 (unsigned long long)seed, fleet_violation (s.fleet));
+  fleet_free (s.fleet);
+}
+
 /* Schedules in which the store leaves calls unanswered while hosts that follow
    relays are killed, stand still or lose their watches, and the configuration
    changes.  */
@@ -861,6 +929,11 @@
   run_seeds (SYNC_SEEDS, SYNC_LENGTH, run_sync);
 }
 
+UNIT_PLAIN (test_no_acknowledged_commit_is_lost_where_orders_are_late)
+{
+  run_seeds (SYNC_LATE_SEEDS, SYNC_LATE_LENGTH, run_sync_late);
+}
+
 UNIT_PLAIN (test_changes_are_in_force_in_time_where_the_store_is_silent)
 {
   run_seeds (SILENT_SEEDS, SILENT_LENGTH, run_silent);
--- /dev/null
+++ b/tests/unit/test_promoter.c
@@ -0,0 +1,168 @@
+/* Orders to promote that get no answer, on a simulated fleet in which a commit
+   waits for a replica.  */
+
+#include "tests/fleet/fleet_unit.h"
+
+/* Time after which an order without an answer takes effect.  */
+#define LATE_MS 9000
+/* Time for which the instance that it names receives nothing before.  */
+#define DEAF_MS 1500
+
+static void
+set_up_sync (void)
+{
+  fleet = fleet_new_with (
+      7, FLEET_DEFAULT_HOSTS,
+      &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                               .sync_replicas = 1 });
+  fleet_run (fleet, SETTLE_MS);
+}
+
+/* Lets WRITER write one statement after another for SPAN_MS.  */
+static void
+keep_writing (struct fleet_caller *writer, clk_ms span_ms)
+{
+  clk_ms until_ms = fleet_now (fleet) + span_ms;
+  while (fleet_now (fleet) < until_ms)
+    {
+      if (!fleet_caller_waits (writer))
+        fleet_caller_send (writer, STMT_WRITE, "a 1", NULL);
+      fleet_run (fleet, 5);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%s",
+                     fleet_violation (fleet));
+    }
+}
+
+/* Lets the next order to promote, which names i-2, get no answer and take
+   effect after LATE_MS.  Returns when it was sent.  */
+static clk_ms
+lose_next_order (struct fleet_caller *writer)
+{
+  fleet->promote_lost = NULL;
+  fleet->promote_lost_percent = 100;
+  fleet->promote_late_ms = LATE_MS;
+  while (fleet->promote_lost == NULL)
+    keep_writing (writer, 5);
+  fleet->promote_lost_percent = 0;
+  ck_assert (fleet->promote_lost == fleet_instance (fleet, 2));
+  fleet_instance (fleet, 1)->replication_stopped = false;
+  return fleet_now (fleet);
+}
+
+/* Runs until the order that was sent at SENT_MS takes effect.  Its instance
+   receives nothing for a while before.  */
+static void
+await_late_order (struct fleet_caller *writer, clk_ms sent_ms)
+{
+  struct fleet_instance *ordered = fleet->promote_lost;
+  keep_writing (writer, sent_ms + LATE_MS - DEAF_MS - fleet_now (fleet));
+  ordered->replication_stopped = true;
+  keep_writing (writer, DEAF_MS + 1000);
+  ordered->replication_stopped = false;
+  keep_writing (writer, 3000);
+  while (fleet_caller_waits (writer))
+    fleet_run (fleet, 1);
+  ck_assert_int_eq (run (writer, STMT_WRITE, "a 1", NULL), CODE_OK);
+}
+
+static void
+announce (struct fleet_instance *instance, bool leaves)
+{
+  instance->draining = leaves;
+  fleet_publish (fleet);
+}
+
+static void
+nothing_happens (struct fleet_caller *writer)
+{
+  (void)writer;
+}
+
+static void
+holder_is_killed (struct fleet_caller *writer)
+{
+  struct fleet_host *holder = duty_holder ();
+  (void)writer;
+  fleet_host_kill (holder);
+  fleet_host_start (holder);
+}
+
+static void
+holder_resigns (struct fleet_caller *writer)
+{
+  (void)writer;
+  roster_resign_duty (duty_holder ()->roster, "test");
+}
+
+static void
+next_primary_leaves (struct fleet_caller *writer)
+{
+  keep_writing (writer, 4500);
+  announce (fleet_instance (fleet, 0), false);
+  struct fleet_instance *next = fleet_primary (fleet);
+  ck_assert (next != NULL);
+  announce (next, true);
+  keep_writing (writer, 2500);
+  ck_assert (fleet_primary (fleet) != next);
+  announce (next, false);
+}
+
+static void
+next_primary_is_lost (struct fleet_caller *writer)
+{
+  keep_writing (writer, 4500);
+  announce (fleet_instance (fleet, 0), false);
+  struct fleet_instance *next = fleet_primary (fleet);
+  ck_assert (next != NULL);
+  next->unreachable = true;
+  keep_writing (writer, 2000);
+  next->unreachable = false;
+  keep_writing (writer, 500);
+}
+
+/* A host other than the one of the writer holds the duty in these tests.  */
+static struct fleet_caller *
+open_writer (void)
+{
+  size_t index = duty_holder () == fleet_host (fleet, 0) ? 1 : 0;
+  return fleet_caller_open (fleet_host (fleet, index), FLEET_DATABASE_PRIMARY);
+}
+
+static void (*const after_lost_order[]) (struct fleet_caller *)
+    = { nothing_happens, holder_is_killed, holder_resigns, next_primary_leaves,
+        next_primary_is_lost };
+
+/* Guards against LOST: an order without an answer was carried out after a
+   later one, under the same fencing token.  */
+UNIT_LOOP (test_a_late_order_discards_no_commit, 0,
+           (int)(sizeof after_lost_order / sizeof after_lost_order[0]))
+{
+  struct fleet_caller *writer = open_writer ();
+  keep_writing (writer, 500);
+  fleet_instance (fleet, 1)->replication_stopped = true;
+  keep_writing (writer, 100);
+  announce (fleet_instance (fleet, 0), true);
+  clk_ms sent_ms = lose_next_order (writer);
+  after_lost_order[_i](writer);
+  await_late_order (writer, sent_ms);
+}
+
+/* Guards against LOST: the primary that was to be replaced came back before
+   the order for another one was carried out.  */
+UNIT_LOOP (test_a_late_order_discards_no_commit_of_a_primary_that_came_back, 0,
+           3)
+{
+  struct fleet_instance *old = fleet_instance (fleet, 0);
+  struct fleet_caller *writer = open_writer ();
+  keep_writing (writer, 500);
+  fleet_instance (fleet, 1)->replication_stopped = true;
+  keep_writing (writer, 100);
+  old->unreachable = true;
+  clk_ms sent_ms = lose_next_order (writer);
+  old->unreachable = false;
+  after_lost_order[_i](writer);
+  await_late_order (writer, sent_ms);
+}
+
+UNIT_MAIN ("promoter", .setup = set_up_sync, .teardown = tear_down,
+           .timeout_s = 60)
