A message with a zero byte is malformed

Cause: messages were parsed as C strings. The check for a zero byte compared strlen (line) > length, which never holds, after the line had been split.

Change: wire_parse_request takes the length and rejects a message with a zero byte before it splits it, in each field of each message. HTTP requests with %00 in the path or query, where names were cut in the same way, get 400.

Measured: test_a_write_with_a_zero_byte_is_not_run, with a host as a process, got "COMPLETE i-0.q0" before; test_malformed_requests_get_a_4xx_and_are_not_submitted got 200 for /v1/request/r1%00x.

--- a/src/cli/http_caller.c
+++ b/src/cli/http_caller.c
@@ -159,7 +159,7 @@
   struct caller_input input = { 0 };
   struct caller_request parsed;
   struct caller_request_error error;
-  if (uri == NULL)
+  if (uri == NULL || http_server_uri_has_zero (request))
     {
       evhttp_send_error (request, 400, NULL);
       return;
--- a/src/cli/http_config.c
+++ b/src/cli/http_config.c
@@ -96,7 +96,8 @@
       = evhttp_request_get_evhttp_uri (pending->request);
   const char *text = evhttp_uri_get_query (uri);
   struct evkeyvalq query = { 0 };
-  if (evhttp_parse_query_str (text != NULL ? text : "", &query) != 0)
+  if (http_server_uri_has_zero (pending->request)
+      || evhttp_parse_query_str (text != NULL ? text : "", &query) != 0)
     {
       refuse (pending, 400, "malformed query");
       return false;
--- a/src/cli/http_proxy_report.c
+++ b/src/cli/http_proxy_report.c
@@ -88,7 +88,8 @@
   const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
   const char *text = evhttp_uri_get_query (uri);
   struct evkeyvalq query = { 0 };
-  if (evhttp_parse_query_str (text != NULL ? text : "", &query) != 0)
+  if (http_server_uri_has_zero (request)
+      || evhttp_parse_query_str (text != NULL ? text : "", &query) != 0)
     {
       reply_error (http, request, 400, "malformed query");
       return;
--- a/src/cli/http_server.c
+++ b/src/cli/http_server.c
@@ -241,6 +241,12 @@
   return conn;
 }
 
+bool
+http_server_uri_has_zero (const struct evhttp_request *request)
+{
+  return strstr (evhttp_request_get_uri (request), "%00") != NULL;
+}
+
 void
 http_server_received (struct http_server *server,
                       struct evhttp_request *request)
--- a/src/cli/http_server.h
+++ b/src/cli/http_server.h
@@ -60,6 +60,10 @@
 /* Returns the number of responses that are not completely sent.  */
 size_t http_server_unsent_count (const struct http_server *server);
 
+/* Returns whether the URI of REQUEST holds an encoded zero byte, at which a
+   decoded name would end.  */
+bool http_server_uri_has_zero (const struct evhttp_request *request);
+
 /* REQUEST has been received and will be replied to later.  */
 void http_server_received (struct http_server *server,
                            struct evhttp_request *request);
--- a/tests/fuzz/sim_parsers.c
+++ b/tests/fuzz/sim_parsers.c
@@ -91,7 +91,7 @@
   struct answer answer = { 0 };
   char *copy = mem_copy (line, length);
   char *text = mem_zalloc (length + 1);
-  wire_parse_request (&request, copy, text);
+  wire_parse_request (&request, copy, length, text);
   bool ok = request.kind != WIRE_MALFORMED
             && (request.kind != WIRE_QUERY
                 || request.statement.kind != STMT_UNKNOWN);
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -247,6 +247,8 @@
     { "GET", "/v1/request/r1", AUTH, "", 400, "service" },
     { "POST", "/v1/transaction/h1/undo", AUTH, "{}", 404, "not_found" },
     { "POST", "/v2/statement", AUTH, "{}", 404, "not_found" },
+    { "GET", "/v1/request/r1%00x?service=a%2Fb", AUTH, "", 400, "" },
+    { "GET", "/v1/request/r1?service=a%2Fb%00x", AUTH, "", 400, "" },
   };
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
--- a/tests/unit/test_serve.c
+++ b/tests/unit/test_serve.c
@@ -274,6 +274,23 @@
   close (fd);
 }
 
+/* Guards against UNASKED: a write with a zero byte was cut there, run, and
+   answered with success.  */
+UNIT_TEST (test_a_write_with_a_zero_byte_is_not_run)
+{
+  static const char message[] = "QUERY q0 WRITE 17 40bags\0for-the-gate\r\n";
+  int fd = start_session ();
+  ck_assert_int_eq (write (fd, message, sizeof message - 1),
+                    (ssize_t)sizeof message - 1);
+  const char *answer = read_until (fd, "READY");
+  ck_assert_msg (strncmp (answer, "ERROR MALFORMED", 15) == 0, "%s", answer);
+  close (fd);
+  fd = start_session ();
+  answer = query (fd, "READ 17");
+  ck_assert_msg (strstr (answer, "40bags") == NULL, "%s", answer);
+  close (fd);
+}
+
 UNIT_TEST (test_operator_endpoints_report_host_state)
 {
   const char *status = http_get (metrics, "/v1/status");
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -20,7 +20,7 @@
 parse (const char *message)
 {
   snprintf (line, sizeof line, "%s", message);
-  wire_parse_request (&request, line, text);
+  wire_parse_request (&request, line, strlen (line), text);
 }
 
 /* Removes and returns the content of BUFFER.  */
@@ -103,6 +103,38 @@
   ck_assert_int_eq (request.kind, WIRE_MALFORMED);
 }
 
+/* Guards against UNASKED: a statement with a zero byte was cut there and
+   run.  */
+UNIT_PLAIN (test_a_message_with_a_zero_byte_is_malformed)
+{
+  static const struct
+  {
+    const char *message;
+    size_t length;
+  } cases[] = {
+#define CASE(text) { text, sizeof text - 1 }
+    CASE ("QUERY q1 WRITE 17 40bags\0for-the-north-gate"),
+    CASE ("QUERY q1 WRITE 17 40bags\0"),
+    CASE ("QUERY q1 READ 17\0 18"),
+    CASE ("QUERY q1 COMMIT\0"),
+    CASE ("QUERY q1\0 COMMIT"),
+    CASE ("QUERY q1 SET zone a\0b"),
+    CASE ("QUERY q1 PREPARE s1 WRITE shape\0rest"),
+    CASE ("QUERY q1 EXECUTE s1 17 a\0b"),
+    CASE ("STARTUP ledger\0 key"),
+    CASE ("STARTUP ledger key\0more"),
+    CASE ("TERMINATE\0"),
+    CASE ("\0TERMINATE"),
+#undef CASE
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      memcpy (line, cases[i].message, cases[i].length + 1);
+      wire_parse_request (&request, line, cases[i].length, text);
+      ck_assert_msg (request.kind == WIRE_MALFORMED, "case %zu", i);
+    }
+}
+
 UNIT_PLAIN (test_parses_replies_of_instances)
 {
   struct answer answer = { 0 };
@@ -443,7 +475,7 @@
       struct instance_entry entry;
       size_t length = mutate (&rng, messages[i % 8], out, sizeof out);
       memcpy (copy, out, length + 1);
-      wire_parse_request (&request, copy, text);
+      wire_parse_request (&request, copy, length, text);
       wire_parse_reply (&answer, out);
       length = mutate (&rng, bodies[i % 4], out, sizeof out);
       enum platform_call_kind kind
