Replicas that were paused for a failover receive again

Cause: a failover pauses all replicas. When the primary was back before a promotion took effect, nobody sent RESUME; a new holder of the duty didn't look for paused replicas either.

It checks all groups whose commits wait for a replica every five seconds and when it has acquired the duty; replicas that another holder paused receive again only after an order has fenced that one's.

--- a/src/proxy/late_orders.c
+++ b/src/proxy/late_orders.c
@@ -35,8 +35,7 @@
 late_orders_add (struct late_orders *orders, const char *id, uint64_t token,
                  clk_ms now_ms, clk_ms until_ms)
 {
-  struct late_order *order
-      = (struct late_order *)find (orders, id, now_ms);
+  struct late_order *order = (struct late_order *)find (orders, id, now_ms);
   if (order == NULL)
     {
       order = least_needed (orders);
--- a/src/proxy/promoter.h
+++ b/src/proxy/promoter.h
@@ -22,7 +22,10 @@
 
    In groups in which commits wait for a replica, a failover first makes all
    other instances stop receiving the log and report their positions, so that
-   no commit acknowledged meanwhile is lost.
+   no commit acknowledged meanwhile is lost.  They receive again by the
+   promotion, or by an order to resume if the primary has not changed.  A new
+   holder of the duty looks for paused replicas, and fences the orders of
+   earlier holders before it lets them receive.
 
    Module name: "promoter".  */
 
@@ -88,6 +91,11 @@
    up.  */
 #define PROMOTER_PAUSE_LIMIT 3
 
+/* Interval of the checks for replicas that are still paused, and of those
+   after which some have not told.  */
+#define PROMOTER_RESUME_CHECK_MS 5000
+#define PROMOTER_RESUME_RETRY_MS 500
+
 /* Delay before the retry of a change that failed.  */
 #define PROMOTER_RETRY_MS 200
 
--- a/src/proxy/status_query.c
+++ b/src/proxy/status_query.c
@@ -69,7 +69,7 @@
     {
       row->status = (struct instance_status){ .term = answer->position.term,
                                               .received = answer->position };
-      row->answered = true;
+      row->answered = row->busy = true;
     }
   user->conn = NULL;
   conn_release (conn);
--- a/src/proxy/status_query.h
+++ b/src/proxy/status_query.h
@@ -15,6 +15,7 @@
 {
   char id[NAME_BYTES];
   bool answered;
+  bool busy;                     /* ANSWERED, but with its position only */
   struct instance_status status; /* valid if ANSWERED */
   struct position applied;       /* likewise; zero if not reported */
 };
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -369,13 +369,14 @@
                     goes on */
   uint32_t sync_replicas;
   const char *areas;
-  struct distance *map;          /* of the areas */
-  uint64_t crossings;            /* messages between areas, of any kind */
-  uint64_t crossing_bytes;       /* of messages between hosts */
-  clk_ms apply_ms;               /* that the hosts are told */
-  clk_ms age_ms;                 /* likewise */
-  uint64_t lead_term;            /* of the last promotion that took effect */
-  struct position lead_start;    /* where the log of that term begins */
+  struct distance *map;       /* of the areas */
+  uint64_t crossings;         /* messages between areas, of any kind */
+  uint64_t crossing_bytes;    /* of messages between hosts */
+  clk_ms apply_ms;            /* that the hosts are told */
+  clk_ms age_ms;              /* likewise */
+  uint64_t lead_term;         /* of the last promotion that took effect */
+  struct position lead_start; /* where the log of that term begins */
+  bool promote_down; /* the platform carries out no order, and says so */
   uint32_t promote_lost_percent; /* of the orders, not answered; they take
                                     effect late or never */
   clk_ms promote_late_ms;        /* after which those take effect; 0: drawn */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -873,6 +873,17 @@
   fleet_schedule (fleet, FLEET_PROMOTE_MS, complete_promotion, request);
 }
 
+/* The platform is unavailable: the order has no effect.  */
+static void
+not_done (void *arg)
+{
+  struct promotion_request *request = arg;
+  if (request->host->running
+      && request->host->incarnation == request->incarnation)
+    request->done (request->arg, PROMOTE_NOT_DONE);
+  free (request);
+}
+
 static void
 promote (struct promote_port *port, const char *group, const char *instance,
          const char *holder, uint64_t token, promote_done done, void *arg)
@@ -895,7 +906,10 @@
     fleet_report_violation (
         host->fleet, "ONE: %s sent the token %" PRIu64 " after %" PRIu64,
         host->name, token, host->fleet->token);
-  if (rng_below (&host->fleet->rng, 100) < host->fleet->promote_lost_percent)
+  if (host->fleet->promote_down)
+    fleet_schedule (host->fleet, 5, not_done, request);
+  else if (rng_below (&host->fleet->rng, 100)
+           < host->fleet->promote_lost_percent)
     lose_answer (request, promotion_arrived);
   else
     fleet_schedule (host->fleet, 5, promotion_arrived, request);
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -164,5 +164,88 @@
   await_late_order (writer, sent_ms);
 }
 
+/* Lets writes go on until all that follow are acknowledged, for LIMIT_MS at
+   most.  */
+static void
+await_acknowledged (struct fleet_caller *writer, clk_ms limit_ms)
+{
+  clk_ms begin_ms = fleet_now (fleet);
+  int in_a_row = 0;
+  while (fleet_caller_waits (writer))
+    fleet_run (fleet, 1);
+  while (in_a_row < 20)
+    {
+      ck_assert_int_lt (fleet_now (fleet) - begin_ms, limit_ms);
+      in_a_row = run (writer, STMT_WRITE, "a 1", NULL) == CODE_OK
+                     ? in_a_row + 1
+                     : 0;
+      fleet_run (fleet, 5);
+    }
+}
+
+/* Cuts the primary off until the replicas are paused for a failover, while the
+   platform carries out no order.  */
+static void
+give_up_failover (struct fleet_caller *writer)
+{
+  struct fleet_instance *old = fleet_instance (fleet, 0);
+  keep_writing (writer, 500);
+  fleet->promote_down = true;
+  old->unreachable = true;
+  keep_writing (writer, 2000);
+  ck_assert (fleet_instance (fleet, 1)->paused);
+  ck_assert (fleet_instance (fleet, 2)->paused);
+}
+
+static void
+one_replica_is_cut (struct fleet_caller *writer)
+{
+  fleet_instance (fleet, 2)->unreachable = true;
+  keep_writing (writer, 1000);
+}
+
+static void (*const after_pause[]) (struct fleet_caller *)
+    = { nothing_happens, one_replica_is_cut, holder_is_killed,
+        holder_resigns };
+/* In the others a new holder has to order first, see promoter.h.  */
+#define WITHOUT_ORDERS 2
+
+/* Guards against RECOVER: replicas that were paused for a failover never
+   received again once the primary was back.  */
+UNIT_LOOP (test_replicas_receive_again_after_a_failover_that_was_given_up, 0,
+           (int)(sizeof after_pause / sizeof after_pause[0]))
+{
+  struct fleet_caller *writer = open_writer ();
+  give_up_failover (writer);
+  after_pause[_i](writer);
+  fleet_instance (fleet, 0)->unreachable = false;
+  keep_writing (writer, 1000);
+  fleet->promote_down = _i < WITHOUT_ORDERS;
+  await_acknowledged (writer, 6000);
+  fleet_instance (fleet, 2)->unreachable = false;
+  keep_writing (writer, 8000);
+  ck_assert (!fleet_instance (fleet, 1)->paused);
+  ck_assert (!fleet_instance (fleet, 2)->paused);
+  await_acknowledged (writer, 1000);
+}
+
+/* Guards against RECOVER: the same where all hosts have been started again
+   since.  */
+UNIT_TEST (test_replicas_receive_again_after_a_start_of_all_hosts)
+{
+  struct fleet_caller *writer = open_writer ();
+  give_up_failover (writer);
+  fleet_caller_close (writer);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_kill (fleet_host (fleet, i));
+  fleet_instance (fleet, 0)->unreachable = false;
+  fleet->promote_down = false;
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, 8000);
+  writer = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  await_acknowledged (writer, 4000);
+}
+
 UNIT_MAIN ("promoter", .setup = set_up_sync, .teardown = tear_down,
            .timeout_s = 60)
