The record of a promotion tells its term to later holders

Cause: an instance that missed a whole term waits for a better one, but the newest term was known only in the memory of a process. Hosts that had just started promoted it at once.

Change: when the primary leads and no order is outstanding, the record in the store is written with the lowest term in which it can lead; a new holder reads it.

--- a/src/proxy/promoter_change.c
+++ b/src/proxy/promoter_change.c
@@ -100,7 +100,8 @@
   for (size_t i = 0; i < count; i++)
     if (rows[i].answered
         && (!late
-            || late_orders_has (&change->late, rows[i].id, change_now (change)))
+            || late_orders_has (&change->late, rows[i].id,
+                                change_now (change)))
         && (best == NULL
             || position_compare (rows[i].status.received,
                                  best->status.received)
@@ -172,7 +173,8 @@
   uint64_t term = status->term > status->received.term ? status->term
                                                        : status->received.term;
   return !change->hand_over && (term < newest || term < change->led_term)
-         && change_now (change) - change->first_attempt_ms < PROMOTER_OLD_TERM_MS;
+         && change_now (change) - change->first_attempt_ms
+                < PROMOTER_OLD_TERM_MS;
 }
 
 /* Handles a PAUSE without an effect on some replica, whose term was too low.
@@ -221,7 +223,8 @@
   note_terms (change, rows, count);
   /* With synchronous replicas, an instance that did not answer may be the only
      one with an acknowledged commit.  */
-  if (needs_pause (change, group) && change_count_answers (rows, count) < count)
+  if (needs_pause (change, group)
+      && change_count_answers (rows, count) < count)
     {
       change_abort (change,
                     "an instance that may have more commits does not answer",
@@ -237,7 +240,8 @@
   if (change->hand_over
       && position_compare (best->status.received, change->final) < 0)
     {
-      if (change_now (change) - change->started_ms < PROMOTER_CATCH_UP_TIMEOUT_MS)
+      if (change_now (change) - change->started_ms
+          < PROMOTER_CATCH_UP_TIMEOUT_MS)
         query_positions (change);
       else
         change_order (change, change->old); /* only it has all commits */
--- a/src/proxy/promoter_impl.h
+++ b/src/proxy/promoter_impl.h
@@ -47,7 +47,7 @@
   /* For the holder of the duty but not for most failure domains, or
      CLK_NEVER.  */
   clk_ms unreachable_since_ms;
-  clk_ms partly_cut_since_ms;  /* for two thirds of the hosts, or CLK_NEVER */
+  clk_ms partly_cut_since_ms; /* for two thirds of the hosts, or CLK_NEVER */
   uint64_t token;
   bool ordered;         /* recorded, and the new primary not seen yet */
   uint64_t led_term;    /* of the last new primary; a lower bound */
@@ -117,8 +117,9 @@
 /* Lets the hosts use the primary again, if only one instance can be it now.
    Returns whether they may.  */
 bool change_try_to_open (struct change *change, struct group *group);
-/* Where the platform fences, writes that LEADER leads and that no order is
-   outstanding, if the record says otherwise.  */
+/* Where the platform fences, writes that LEADER leads, in which term, and that
+   no order is outstanding, if the record says otherwise.  A later holder then
+   knows which instances have missed that term.  */
 void change_settle_record (struct change *change, struct backend *leader);
 
 /* promoter_resume.c */
--- a/src/proxy/promoter_order.c
+++ b/src/proxy/promoter_order.c
@@ -267,6 +267,8 @@
   if (record.number != change->number)
     change->late = (struct late_orders){ 0 };
   change->number = record.number;
+  if (record.floating_count == 0 && change->led_term < record.floor)
+    change->led_term = record.floor;
   for (size_t i = 0; i < record.floating_count; i++)
     change_add_late (change, record.floating[i], 0);
 }
@@ -309,13 +311,16 @@
   struct roster *roster = change->promoter->roster;
   const char *id = backend_entry (leader)->id;
   uint64_t term = backend_position (leader).term;
+  bool found = roster_find_record (roster, change->group, &record);
+  bool same = found && strcmp (record.candidate, id) == 0;
   if (change_now (change) < change->settle_ms
-      || !roster_find_record (roster, change->group, &record)
-      || (record.floating_count == 0 && record.floor >= term
-          && strcmp (record.candidate, id) == 0))
+      || (!found && change->led_term == 0)
+      || (same && record.floating_count == 0 && record.floor >= term))
     return;
-  if (strcmp (record.candidate, id) != 0 || record.floor < term)
+  if (!same || record.floor < term)
     record.floor = term;
+  record.number = change->number;
+  text_copy (record.group, sizeof record.group, change->group);
   text_copy (record.candidate, sizeof record.candidate, id);
   record.floating_count = 0;
   change->settle_ms = change_now (change) + PROMOTER_SETTLE_MS;
--- a/src/proxy/promoter_resume.c
+++ b/src/proxy/promoter_resume.c
@@ -20,8 +20,8 @@
 /* Sends STATEMENT to COUNT replicas.  */
 static void
 query_replicas (struct change *change, struct backend *const *replicas,
-                size_t count, enum change_stage stage, enum stmt_kind statement,
-                status_query_done done)
+                size_t count, enum change_stage stage,
+                enum stmt_kind statement, status_query_done done)
 {
   struct promoter *promoter = change->promoter;
   change_set_stage (change, stage);
@@ -78,7 +78,7 @@
 
 void
 change_consider_resume (struct change *change, struct group *group,
-                 struct backend *leader)
+                        struct backend *leader)
 {
   struct backend *replicas[GROUP_INSTANCES];
   size_t count = 0, instances = group_instances (group, replicas);
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -247,5 +247,37 @@
   await_acknowledged (writer, 4000);
 }
 
+/* Guards against STALE: hosts that had just started promoted an instance that
+   had missed a term, so that commits came back which reads of that term had
+   lacked.  Commits don't wait for a replica here.  */
+UNIT_PLAIN (test_an_instance_that_missed_a_term_waits_also_after_a_start)
+{
+  fleet = fleet_new (7, FLEET_DEFAULT_HOSTS);
+  fleet_run (fleet, SETTLE_MS);
+  struct fleet_instance *second = fleet_instance (fleet, 1);
+  struct fleet_instance *missing = fleet_instance (fleet, 2);
+  struct fleet_caller *writer = open_writer ();
+  second->replication_stopped = true;
+  keep_writing (writer, 500);
+  fleet_instance (fleet, 0)->unreachable = true;
+  missing->unreachable = missing->isolated = true;
+  keep_writing (writer, 2000);
+  ck_assert (fleet_primary (fleet) == second);
+  fleet_caller_close (writer);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_kill (fleet_host (fleet, i));
+  second->unreachable = true;
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, 2000);
+  missing->unreachable = false;
+  fleet_run (fleet, 5000);
+  ck_assert (fleet_primary (fleet) != missing);
+  second->unreachable = false;
+  ck_assert_int_le (write_gap_ms (fleet_host (fleet, 0)), 2000);
+  ck_assert (fleet_primary (fleet) == second);
+  tear_down ();
+}
+
 UNIT_MAIN ("promoter", .setup = set_up_sync, .teardown = tear_down,
            .timeout_s = 60)
