--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -52,6 +52,7 @@
 {
   bool was_usable = backend_usable (backend);
   backend->last_answer_ms = backend_now (backend);
+  backend->has_answered = true;
   backend->connect_failed_since_ms = CLK_NEVER;
   backend->probe_unanswered_ms = CLK_NEVER;
   backend->failures = 0;
@@ -326,6 +327,12 @@
   return backend->last_answer_ms;
 }
 
+bool
+backend_has_answered (const struct backend *backend)
+{
+  return backend->has_answered;
+}
+
 struct position
 backend_position (const struct backend *backend)
 {
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -197,8 +197,11 @@
    instance has not answered since.  */
 bool backend_usable (const struct backend *backend);
 
-/* Time of the last answer of the instance.  */
+/* Time of the last answer of the instance, or at first of the backend's
+   creation.  */
 clk_ms backend_last_answer_ms (const struct backend *backend);
+/* Returns whether the instance has answered at all.  */
+bool backend_has_answered (const struct backend *backend);
 
 /* Position that the instance reported last.  */
 struct position backend_position (const struct backend *backend);
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -83,6 +83,7 @@
   uint32_t refused_count; /* connections open then */
   struct position position;
   clk_ms last_answer_ms;
+  bool has_answered;
   clk_ms connect_failed_since_ms; /* CLK_NEVER: not failed */
   clk_ms probe_unanswered_ms;     /* likewise */
   uint32_t failures;              /* consecutive failures to connect */
--- a/src/proxy/group.c
+++ b/src/proxy/group.c
@@ -7,6 +7,7 @@
 
 #include "kernel/mem.h"
 #include "kernel/mutant.h"
+#include "kernel/text.h"
 
 void
 group_subscribe (struct group *group, struct group_subscriber *subscriber)
@@ -183,6 +184,9 @@
       log_event (kernel_log (options.kernel), LOG_WARNING, "instance_ignored",
                  LOG_S ("instance", entry->id),
                  LOG_S ("why", "its group has too many instances"));
+      if (!group->crowded)
+        group->next_try_ms = group_now (group) + GROUP_TRIAL_MS;
+      group->crowded = true;
       return;
     }
   struct member_instance *instance = mem_zalloc (sizeof *instance);
@@ -415,6 +419,66 @@
   }
 }
 
+/* The entry of a group that gets the next place.  */
+struct place_search
+{
+  struct group *group;
+  const struct instance_entry *next;  /* first one after the last tried */
+  const struct instance_entry *first; /* in the order of their ids */
+};
+
+static void
+consider_entry (void *arg, const struct instance_entry *entry)
+{
+  struct place_search *search = arg;
+  struct group *group = search->group;
+  if (strcmp (entry->group, group->settings.name) != 0
+      || find_instance (group, entry->id) != NULL)
+    return;
+  if (search->first == NULL || strcmp (entry->id, search->first->id) < 0)
+    search->first = entry;
+  if (strcmp (entry->id, group->last_tried) > 0
+      && (search->next == NULL || strcmp (entry->id, search->next->id) < 0))
+    search->next = entry;
+}
+
+/* Returns whether INSTANCE keeps its place though other entries wait for
+   one.  */
+static bool
+keeps_place (const struct member_instance *instance)
+{
+  return backend_has_answered (instance->backend)
+         || instance->backend == instance->group->leader;
+}
+
+/* Gives the places of instances that have not answered in GROUP_TRIAL_MS to
+   entries that wait for one.  */
+static void
+try_waiting_entries (struct group *group)
+{
+  struct groups *groups = group->groups;
+  if (!group->crowded || group_now (group) < group->next_try_ms)
+    return;
+  group->next_try_ms = group_now (group) + GROUP_TRIAL_MS;
+  for (size_t i = group->count; i-- > 0;)
+    if (!keeps_place (group->instances[i]))
+      remove_instance (group, group->instances[i]);
+  while (group->count < GROUP_INSTANCES)
+    {
+      struct place_search search = { .group = group };
+      catalog_each_instance (groups->catalog, consider_entry, &search);
+      const struct instance_entry *entry
+          = search.next != NULL ? search.next : search.first;
+      if (entry == NULL)
+        {
+          group->crowded = false;
+          return;
+        }
+      text_copy (group->last_tried, sizeof group->last_tried, entry->id);
+      on_instance (groups, entry);
+    }
+}
+
 static void
 drop_removed (struct group *group)
 {
@@ -482,6 +546,7 @@
     drop_removed (group);
     if (!group->connected)
       continue;
+    try_waiting_entries (group);
     check_instances (group);
     probe_leader (group);
     if (group->leader == NULL && group->count > 0)
--- a/src/proxy/group.h
+++ b/src/proxy/group.h
@@ -81,7 +81,10 @@
 /* Largest number of connections to one instance that a host may open.  */
 #define GROUP_SHARE_LIMIT 8
 
+/* Places of a group.  If it has more entries, those that have not answered
+   give their places to the others, by turns.  */
 #define GROUP_INSTANCES 16
+#define GROUP_TRIAL_MS 1000
 #define GROUP_DOMAINS 32
 
 struct groups;
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -24,6 +24,9 @@
   struct samples samples;
   size_t count;
   struct member_instance *instances[GROUP_INSTANCES];
+  bool crowded;                /* entries wait for a place */
+  char last_tried[NAME_BYTES]; /* id of the entry that got one last */
+  clk_ms next_try_ms;
   struct backend *leader;
   bool proven; /* LEADER has accepted a plain BEGIN since it was found */
   /* Once the log of CAUGHT_UP, the primary, has reached CAUGHT_UP_AT, it
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -358,6 +358,7 @@
   size_t host_count;
   struct fleet_host hosts[FLEET_MAX_HOSTS];
   struct fleet_instance instances[FLEET_INSTANCES];
+  struct fleet_instance nowhere; /* at the addresses of odd entries */
   uint64_t next_link;
   uint64_t next_tx;
   uint64_t next_id;
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -93,7 +93,7 @@
 is_cut (const struct instance_link *link)
 {
   size_t index = (size_t)(link->instance - link->fleet->instances);
-  return link->instance->unreachable
+  return link->instance->unreachable || link->instance == &link->fleet->nowhere
          || (link->host != NULL && link->host->instances_cut[index]);
 }
 
@@ -682,6 +682,13 @@
   link->events = events;
   link->arg = arg;
   link->serial = ++fleet->next_link;
+  if (target->port >= 1000 + FLEET_INSTANCES)
+    {
+      /* Nothing listens there.  */
+      link->instance = &fleet->nowhere;
+      schedule_step (link, CONNECT_MS, opened);
+      return link;
+    }
   link->instance = &fleet->instances[target->port - 1000];
   bool has_user = target->user != NULL && target->user[0] != '\0';
   snprintf (link->user, NAME_BYTES, "%s",
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -103,7 +103,8 @@
   instance->born += returns;
   snprintf (value, sizeof value,
             "{\"service\":\"" FLEET_GROUP "\",\"address\":\"10.0.0.%zu:%zu\","
-            "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":5,\"state\":"
+            "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":5,"
+            "\"cold_remaining_ms\":0,\"state\":"
             "\"%s\",\"db_role\":\"%s\",\"sequence\":%llu,\"born\":%llu}",
             index + 1, 1000 + index, instance->zone,
             instance->draining ? "draining" : "ready",
--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -337,7 +337,8 @@
       char *key = mem_printf ("servers/%s", instance->id);
       char *text = mem_printf (
           "{\"service\":\"" GROUP "\",\"address\":\"127.0.0.1:%u\",\"zone\":"
-          "\"zone-%zu\",\"version\":\"v1\",\"capacity\":4,\"state\":\"%s\","
+          "\"zone-%zu\",\"version\":\"v1\",\"capacity\":4,\"cold_remaining_"
+          "ms\":0,\"state\":\"%s\","
           "\"db_role\":\"%s\",\"sequence\":1,\"born\":1}",
           instance->port, i, instance->draining ? "draining" : "ready",
           i == leader ? "primary" : "replica");
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -334,6 +334,46 @@
   read_of_all_kinds (host);
 }
 
+/* Writes COUNT entries of the group at which nothing listens.  Their ids are
+   PREFIX and a number.  */
+static void
+put_dead_entries (const char *prefix, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      char key[NAME_BYTES], value[512];
+      snprintf (key, sizeof key, "servers/%s%02d", prefix, i);
+      snprintf (value, sizeof value,
+                "{\"service\":\"" FLEET_GROUP "\",\"address\":"
+                "\"10.9.0.1:%d\",\"zone\":\"zone-0\",\"version\":\"v1\","
+                "\"capacity\":5,\"cold_remaining_ms\":0,\"state\":\"ready\","
+                "\"db_role\":\"replica\",\"sequence\":1,\"born\":1}",
+                2000 + i);
+      fleet_store_put (fleet, key, value);
+    }
+}
+
+/* Guards against RECOVER: entries of instances that don't answer took all
+   places of a group.  */
+UNIT_LOOP (test_entries_that_do_not_answer_keep_no_place, 0, 2)
+{
+  static const char *const prefixes[] = { "a-", "x-" };
+  put_dead_entries (prefixes[_i], 40);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_kill (fleet_host (fleet, i));
+  for (size_t i = 0; i < fleet->host_count; i++)
+    fleet_host_start (fleet_host (fleet, i));
+  fleet_run (fleet, 10000);
+  for (size_t i = 0; i < fleet->host_count; i++)
+    {
+      struct fleet_caller *caller
+          = fleet_caller_open (fleet_host (fleet, i), FLEET_DATABASE_PRIMARY);
+      ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+    }
+  ck_assert (fleet_primary (fleet) == fleet_instance (fleet, 0));
+}
+
 /* Cuts PRIMARY off from two of the three failure domains, among them that of
    the holder of the duty, and restarts the holder.  Returns a host of the
    third.  */
@@ -1045,6 +1085,7 @@
   fleet_store_put (fleet, "servers/i-9",
                    "{\"service\":\"other\",\"address\":\"10.0.0.1:1000\","
                    "\"zone\":\"zone-0\",\"version\":\"v1\",\"capacity\":5,"
+                   "\"cold_remaining_ms\":0,"
                    "\"state\":\"ready\",\"db_role\":\"primary\","
                    "\"sequence\":1,\"born\":1}");
   fleet_run (fleet, 3000);
@@ -1063,6 +1104,7 @@
   fleet_store_put (fleet, "servers/i-1",
                    "{\"service\":\"other\",\"address\":\"10.0.0.2:1001\","
                    "\"zone\":\"zone-1\",\"version\":\"v1\",\"capacity\":5,"
+                   "\"cold_remaining_ms\":0,"
                    "\"state\":\"ready\",\"db_role\":\"replica\","
                    "\"sequence\":9999,\"born\":9}");
   fleet_run (fleet, 200);
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -323,7 +323,8 @@
   ck_assert (parse_entry (
       &entry, "servers/i-1",
       "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"z\","
-      "\"version\":\"v1\",\"capacity\":5,\"state\":\"draining\","
+      "\"version\":\"v1\",\"capacity\":5,\"cold_remaining_ms\":0,"
+      "\"state\":\"draining\","
       "\"db_role\":\"primary\",\"sequence\":4,\"born\":1}"));
   ck_assert_str_eq (entry.address, "10.128.0.9");
   ck_assert_uint_eq (entry.port, 8080);
@@ -349,6 +350,70 @@
                    unusable[i]);
 }
 
+/* Guards against RECOVER: entries with a field that was missing or of another
+   type took the places of instances.  */
+UNIT_PLAIN (test_entries_with_an_odd_field_name_no_instance)
+{
+  static const char *const fields[] = { "\"service\":\"s\"",
+                                        "\"address\":\"10.0.0.1:80\"",
+                                        "\"zone\":\"z\"",
+                                        "\"version\":\"v1\"",
+                                        "\"capacity\":5",
+                                        "\"state\":\"ready\"",
+                                        "\"cold_remaining_ms\":12",
+                                        "\"db_role\":\"replica\"",
+                                        "\"sequence\":4" };
+  static const struct
+  {
+    size_t field;
+    const char *text;
+  } odd[] = {
+    { 0, "\"service\":[\"s\"]" },
+    { 1, "\"address\":\"10.0.0.1:80x\"" },
+    { 1, "\"address\":\"10.0.0.1:0\"" },
+    { 1, "\"address\":\"10.0.0.1:65536\"" },
+    { 1, "\"address\":\"10.0.0.1: 80\"" },
+    { 1, "\"address\":\"10.0.0.1:-1\"" },
+    { 2, "\"zone\":7" },
+    { 3, "\"version\":1" },
+    { 4, "\"capacity\":\"many\"" },
+    { 4, "\"capacity\":-1" },
+    { 4, "\"capacity\":1e300" },
+    { 4, "\"capacity\":4294967296" },
+    { 4, "\"capacity\":1.5" },
+    { 4, "\"capacity\":null" },
+    { 5, "\"state\":true" },
+    { 6, "\"cold_remaining_ms\":\"0\"" },
+    { 6, "\"cold_remaining_ms\":-5" },
+    { 7, "\"db_role\":{}" },
+    { 8, "\"sequence\":\"4\"" },
+    { 8, "\"sequence\":1e99" },
+    { 8, "\"sequence\":4,\"born\":\"now\"" },
+    { 8, "\"sequence\":4,\"born\":0.5" },
+  };
+  const size_t count = sizeof fields / sizeof fields[0];
+  const size_t odd_count = sizeof odd / sizeof odd[0];
+  struct instance_entry entry;
+  /* First the sound entry, then one without each field, then the odd ones.  */
+  for (size_t i = 0; i < 1 + count + odd_count; i++)
+    {
+      char value[512] = "{";
+      size_t used = 1;
+      for (size_t j = 0; j < count; j++)
+        {
+          bool replaced = i > count && odd[i - count - 1].field == j;
+          if (i > 0 && i <= count && i - 1 == j)
+            continue;
+          used += (size_t)snprintf (
+              value + used, sizeof value - used, "%s%s", used > 1 ? "," : "",
+              replaced ? odd[i - count - 1].text : fields[j]);
+        }
+      snprintf (value + used, sizeof value - used, "}");
+      ck_assert_msg (parse_entry (&entry, "servers/i-1", value) == (i == 0),
+                     "%s", value);
+    }
+}
+
 /* Names from the store that would split a message, as JSON strings.  */
 static const char *const split_names[] = { "s w\\r\\nQUERY f0 WRITE 7 forged",
                                            "s w",
@@ -365,7 +430,8 @@
 {
   static const char *const format
       = "{\"service\":\"%s\",\"address\":\"10.0.0.1:1\",\"zone\":\"%s\","
-        "\"state\":\"ready\",\"db_role\":\"replica\"}";
+        "\"version\":\"v1\",\"capacity\":5,\"cold_remaining_ms\":0,"
+        "\"sequence\":1,\"state\":\"ready\",\"db_role\":\"replica\"}";
   static const char *const keys[]
       = { "servers/", "servers/i 1", "servers/i-1\r\nQUERY f0 WRITE 7 forged",
           "servers/i-1\n" };
