--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -693,7 +693,7 @@
    get no answer and take effect late.  Primaries announce that they leave or
    can't be reached, and the holder of the duty restarts or resigns.  */
 #define SYNC_LATE_SEEDS 40
-#define SYNC_LATE_LENGTH 5
+#define SYNC_LATE_LENGTH 10
 #define SYNC_LATE_ROUNDS 4
 
 static void
