Odd records and outages of the store hold up no promotion

Cause: since orders are recorded where the platform fences, a value of the record that was too long to be one was not read at all, so that the write which replaces it met a conflict each time, and no failover took place. While the store was away, an order for another instance than that of one without an answer waited for a higher token. The reply to a call of an earlier change could count for a later one.

Change: a value that no host writes is kept as an empty one, with its revision. With asynchronous replicas a token that can't rise holds up no order. Only the reply to the last call counts.

--- a/src/proxy/promoter.c
+++ b/src/proxy/promoter.c
@@ -152,8 +152,11 @@
       change_settle_record (change, leader);
       return false;
     }
-  if (group_settings (group)->sync_replicas > 0
-      && change_find_instance (group, other->id) != NULL)
+  bool synchronous = group_settings (group)->sync_replicas > 0;
+  /* While the store is away the token can't rise.  */
+  if (!synchronous && !roster_duty_leased (change->promoter->roster))
+    return false;
+  if (synchronous && change_find_instance (group, other->id) != NULL)
     change_start (change, leader, false,
                   "an order without an answer may take effect");
   else
--- a/src/proxy/promoter_impl.h
+++ b/src/proxy/promoter_impl.h
@@ -63,10 +63,11 @@
   uint64_t number;      /* of the last order */
   uint64_t read_token;  /* of this holder, when it read the record */
   struct late_orders late;
-  bool unanswered;  /* the last order */
-  bool repeated;    /* it named an instance that may lead already */
-  clk_ms settle_ms; /* earliest time of the next write of the record */
-  clk_ms closed_ms; /* when the group was found closed, or CLK_NEVER */
+  unsigned verifying; /* calls of the roster in flight */
+  bool unanswered;    /* the last order */
+  bool repeated;      /* it named an instance that may lead already */
+  clk_ms settle_ms;   /* earliest time of the next write of the record */
+  clk_ms closed_ms;   /* when the group was found closed, or CLK_NEVER */
   struct status_query *query;
   UT_hash_handle hh;
 };
--- a/src/proxy/promoter_order.c
+++ b/src/proxy/promoter_order.c
@@ -69,7 +69,8 @@
   struct change *change = arg;
   struct promoter *promoter = change->promoter;
   uint64_t token;
-  if (change->stage != CHANGE_VERIFYING)
+  /* The reply to a call of an earlier change tells nothing of this one.  */
+  if (--change->verifying > 0 || change->stage != CHANGE_VERIFYING)
     return;
   if (!held || !roster_holds_duty (promoter->roster, &token))
     {
@@ -108,6 +109,7 @@
     if (change->late.items[i].until_ms > change_now (change)
         && strcmp (change->late.items[i].id, change->chosen) != 0)
       add_to_record (&record, change->late.items[i].id);
+  change->verifying++;
   roster_record_order (change->promoter->roster, &record, on_verified, change);
 }
 
@@ -116,7 +118,7 @@
 {
   struct change *change = arg;
   uint64_t token;
-  if (change->stage != CHANGE_VERIFYING)
+  if (--change->verifying > 0 || change->stage != CHANGE_VERIFYING)
     return;
   if (!held || !roster_holds_duty (change->promoter->roster, &token))
     {
@@ -128,33 +130,48 @@
   record_order (change);
 }
 
-/* Orders the promotion of ID.  Orders that may still be carried out, except
-   those for the instance SPARED, must have a lower token, so that this one
-   fences them.  */
+/* Returns whether the token has to rise before an order, so that the order
+   fences those that may still be carried out, except for the instance SPARED.
+   While the store is away it can't rise; where replicas are asynchronous that
+   holds up no order.  */
+static bool
+needs_higher_token (const struct change *change, const char *spared)
+{
+  struct roster *roster = change->promoter->roster;
+  const struct group *group = change_group (change);
+  uint64_t token;
+  return permits_fenced (change->promoter->permits)
+         && roster_holds_duty (roster, &token)
+         && late_orders_share_token (&change->late, spared, token,
+                                     change_now (change))
+         && (roster_duty_leased (roster)
+             || (group != NULL && group_settings (group)->sync_replicas > 0));
+}
+
+/* Orders the promotion of ID, with a higher token than those of all orders
+   that may still be carried out, except for the instance SPARED.  */
 static void
 order_with_fence (struct change *change, const char *id, const char *spared)
 {
   struct promoter *promoter = change->promoter;
-  uint64_t token;
   text_copy (change->chosen, sizeof change->chosen, id);
   change_set_stage (change, CHANGE_VERIFYING);
   change->repeated = late_orders_has (&change->late, id, change_now (change))
                      || strcmp (spared, id) != 0;
   change->number++;
   change->accepted_ms = CLK_NEVER;
-  if (permits_fenced (promoter->permits))
+  if (!permits_fenced (promoter->permits))
     {
-      if (roster_holds_duty (promoter->roster, &token)
-          && late_orders_share_token (&change->late, spared, token,
-                                      change_now (change)))
-        roster_raise_token (promoter->roster, on_token_raised, change);
-      else
-        record_order (change);
+      change->ordered = true;
+      change->confirmed = false;
+    }
+  if (!needs_higher_token (change, spared))
+    {
+      record_order (change);
       return;
     }
-  change->ordered = true;
-  change->confirmed = false;
-  record_order (change);
+  change->verifying++;
+  roster_raise_token (promoter->roster, on_token_raised, change);
 }
 
 void
--- a/src/proxy/roster.c
+++ b/src/proxy/roster.c
@@ -479,8 +479,7 @@
   struct roster *roster = arg;
   struct roster_key *key = roster_find_key (roster, item->key);
   bool is_new = key == NULL;
-  if (strlen (item->key) >= KEY_BYTES
-      || item->value_bytes >= sizeof key->value)
+  if (strlen (item->key) >= KEY_BYTES)
     return;
   if (is_new)
     {
@@ -495,7 +494,10 @@
   bool changed = is_new || key->revision != item->index;
   key->revision = item->index;
   key->created = item->created;
-  snprintf (key->value, sizeof key->value, "%s", item->value);
+  /* A value that no host writes is kept as an empty one: its revision is
+     needed to replace it.  */
+  if (!text_copy (key->value, sizeof key->value, item->value))
+    key->value[0] = '\0';
   if (changed && is_host_key (key->name))
     {
       note_host_change (roster, key, false);
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -14,7 +14,7 @@
 /* Delay from a call to its execution.  */
 #define CALL_MS 4
 #define KEY_BYTES 200
-#define VALUE_BYTES 160 /* of a host's write */
+#define VALUE_BYTES 400 /* of a host's write */
 /* Events kept for watches; also the maximum number of keys of a list.  */
 #define HISTORY 4096
 /* Items of a page of a list.  */
--- a/tests/unit/test_promoter.c
+++ b/tests/unit/test_promoter.c
@@ -1,6 +1,7 @@
 /* Orders to promote that get no answer, on a simulated fleet in which a commit
    waits for a replica.  */
 
+#include "kernel/mem.h"
 #include "tests/fleet/fleet_unit.h"
 
 /* Time after which an order without an answer takes effect.  */
@@ -247,6 +248,25 @@
   await_acknowledged (writer, 4000);
 }
 
+/* An odd value of the record, by another writer, holds up no failover.  */
+UNIT_LOOP (test_an_odd_record_holds_up_no_failover, 0, 5)
+{
+  static const char *const odd[]
+      = { "", "1", "-1 x y", "7 2 i-9 i-8 i-7 i-6 i-5", NULL };
+  char *value = odd[_i] != NULL ? mem_strdup (odd[_i]) : mem_zalloc (1001);
+  if (odd[_i] == NULL)
+    memset (value, '7', 1000);
+  fleet_store_put (fleet, "savoryway/primaries/" FLEET_GROUP, value);
+  free (value);
+  fleet_run (fleet, 1000);
+  struct fleet_caller *writer = open_writer ();
+  keep_writing (writer, 500);
+  fleet_instance (fleet, 0)->unreachable = true;
+  keep_writing (writer, 3000);
+  ck_assert_ptr_nonnull (fleet_primary (fleet));
+  ck_assert (fleet_primary (fleet) != fleet_instance (fleet, 0));
+}
+
 /* Guards against STALE: hosts that had just started promoted an instance that
    had missed a term, so that commits came back which reads of that term had
    lacked.  Commits don't wait for a replica here.  */
