--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -92,6 +92,10 @@
      count.  NULL for a success without rows.  */
   const char *body;
   size_t body_bytes;
+  bool has_rows;
+  /* By the instance, of a statement that it ran; no two have the same.  NULL:
+     unsigned.  */
+  const char *signature;
   enum tx_state state;
   bool has_position;
   struct position position;
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -130,6 +130,10 @@
   uint64_t refused;      /* connections above max_connections */
   uint32_t busy_percent; /* of the statements, answered with CODE_BUSY */
   uint32_t lost_percent; /* of the answers to executed statements */
+  uint32_t repeated_percent; /* of all answers, which are sent twice */
+  clk_ms repeat_ms;          /* upper limit of the second one's delay */
+  uint64_t repeated;         /* answers sent twice so far */
+  uint64_t runs;             /* statements executed so far */
 };
 
 /* A host under test.  */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -85,6 +85,7 @@
   struct prepared_name prepared[STATEMENTS];
   struct answer answer; /* in flight */
   char body[BODY_BYTES];
+  char signature[2 * NAME_BYTES];
   bool lose_answer;
   bool unacknowledged; /* too few instances have received the commit */
 };
@@ -167,6 +168,60 @@
   return true;
 }
 
+static bool
+chance (struct instance_link *link, uint32_t percent)
+{
+  return rng_below (&link->fleet->rng, 100) < percent;
+}
+
+/* An answer that is sent a second time.  */
+struct repeat
+{
+  struct instance_link *link;
+  struct answer answer;
+  char body[BODY_BYTES];
+  char signature[2 * NAME_BYTES];
+};
+
+static void
+deliver_repeat (void *arg)
+{
+  struct repeat *repeat = arg;
+  struct instance_link *link = repeat->link;
+  if (link->host != NULL && fleet_host_frozen (link->host))
+    {
+      fleet_schedule (link->fleet, FLEET_FROZEN_POLL_MS, deliver_repeat,
+                      repeat);
+      return;
+    }
+  if (link->host != NULL && !is_cut (link) && !link->dead)
+    link->events->answer (link->arg, &repeat->answer);
+  link->steps--;
+  free_if_unused (link);
+  free (repeat);
+}
+
+/* Lets the instance send the answer that is being delivered again.  */
+static void
+schedule_repeat (struct instance_link *link)
+{
+  struct fleet_instance *instance = link->instance;
+  struct repeat *repeat = mem_zalloc (sizeof *repeat);
+  *repeat = (struct repeat){ .link = link, .answer = link->answer };
+  memcpy (repeat->body, link->body, BODY_BYTES);
+  memcpy (repeat->signature, link->signature, sizeof repeat->signature);
+  if (repeat->answer.body != NULL)
+    repeat->answer.body = repeat->body;
+  if (repeat->answer.signature != NULL)
+    repeat->answer.signature = repeat->signature;
+  instance->repeated++;
+  link->steps++;
+  fleet_schedule (
+      link->fleet,
+      (clk_ms)rng_below (&link->fleet->rng, (uint64_t)instance->repeat_ms + 1),
+      deliver_repeat, repeat);
+}
+
 static void
 deliver (struct instance_link *link)
 {
@@ -183,6 +238,9 @@
     }
   if (link->host == NULL)
     return;
+  if (link->instance->repeated_percent > 0
+      && chance (link, link->instance->repeated_percent))
+    schedule_repeat (link);
   link->events->answer (link->arg, &answer);
   run_next (link);
 }
@@ -207,12 +265,6 @@
                               values->items[i].name, values->items[i].text);
 }
 
-static bool
-chance (struct instance_link *link, uint32_t percent)
-{
-  return rng_below (&link->fleet->rng, 100) < percent;
-}
-
 /* A position that a replica has received and applies after its lag.  */
 struct replication
 {
@@ -353,6 +405,21 @@
   return NULL;
 }
 
+/* Makes a signed answer, with ROW unless that is NULL.  No two runs have the
+   same signature.  */
+static void
+sign_answer (struct instance_link *link, const char *row, const char *id)
+{
+  snprintf (link->signature, sizeof link->signature, "%s.%s.%" PRIu64,
+            link->instance->id, id, ++link->instance->runs);
+  snprintf (link->body, sizeof link->body, "%s%s%sCOMPLETE %s\r\n",
+            row != NULL ? "ROW " : "", row != NULL ? row : "",
+            row != NULL ? "\r\n" : "", link->signature);
+  link->answer.body = link->body;
+  link->answer.body_bytes = strlen (link->body);
+  link->answer.signature = link->signature;
+}
+
 /* Executes an accepted read or write.  */
 static void
 run_statement (struct instance_link *link, const struct queued_statement *sent,
@@ -374,10 +441,7 @@
     link->wrote = true;
   else if (writes)
     oracle_single_write (link->fleet, sent->id, commit_position (link));
-  snprintf (link->body, sizeof link->body, "ROW %s\r\nCOMPLETE %s.%s\r\n",
-            text, link->instance->id, sent->id);
-  link->answer.body = link->body;
-  link->answer.body_bytes = strlen (link->body);
+  sign_answer (link, text, sent->id);
   link->lose_answer
       = chance (link, link->instance->lost_percent) || link->unacknowledged;
 }
@@ -464,10 +528,7 @@
   link->state = TX_IDLE;
   link->lose_answer
       = chance (link, link->instance->lost_percent) || link->unacknowledged;
-  snprintf (link->body, sizeof link->body, "COMPLETE %s.%s\r\n",
-            link->instance->id, sent->id);
-  link->answer.body = link->body;
-  link->answer.body_bytes = strlen (link->body);
+  sign_answer (link, NULL, sent->id);
 }
 
 static void
@@ -517,6 +578,7 @@
             instance->is_primary ? "primary" : "replica", instance->term,
             instance->received.term, instance->received.lsn,
             instance->held_term);
+  link->answer.has_rows = true;
   link->answer.body = link->body;
   link->answer.body_bytes = strlen (link->body);
 }
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -456,9 +456,8 @@
       return;
     }
   snprintf (caller->server, NAME_BYTES, "%.3s", signature + 9);
-  snprintf (expected, sizeof expected, "%s.%s\r\n", caller->server,
-            caller->id);
-  if (strcmp (signature + 9, expected) != 0)
+  snprintf (expected, sizeof expected, "%s.%s.", caller->server, caller->id);
+  if (strncmp (signature + 9, expected, strlen (expected)) != 0)
     fleet_report_violation (fleet, "MIXED: %s has the answer %s", caller->id,
                             signature);
   record_acknowledged (caller);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -814,6 +814,50 @@
   fleet_free (s.fleet);
 }
 
+/* Schedules in which instances send some of their answers twice, the second
+   time late, besides other faults; at odd seeds some hosts forward.  */
+#define STUTTER_SEEDS 60
+#define STUTTER_LENGTH 3
+#define STUTTER_ROUNDS 8
+
+static void
+set_stutter (struct schedule *s, bool any)
+{
+  static const clk_ms late_ms[] = { 5, 40, 400, 3000 };
+  for (size_t i = 0; i < FLEET_INSTANCES; i++)
+    {
+      struct fleet_instance *instance = fleet_instance (s->fleet, i);
+      instance->repeated_percent = any ? (uint32_t)below (s, 4) * 8 : 0;
+      instance->repeat_ms = late_ms[below (s, 4)];
+    }
+}
+
+static void
+run_stutter (uint64_t seed)
+{
+  bool few = seed % 2 != 0;
+  struct schedule s = { .fleet = few ? fleet_new_limited (seed, LIMITED_HOSTS,
+                                                          LIMITED_CONNECTIONS)
+                                     : fleet_new (seed, HOSTS),
+                        .restarts = true };
+  rng_init (&s.rng, seed + 9000000);
+  fleet_run (s.fleet, 3000);
+  for (int round = 0; round < STUTTER_ROUNDS; round++)
+    {
+      set_stutter (&s, true);
+      run_callers (&s, 1000, STEP_MS);
+      inject_instance_fault (&s);
+      run_callers (&s, 500, STEP_MS);
+      if (below (&s, 2) == 0)
+        clear_faults (&s);
+    }
+  set_stutter (&s, false);
+  fleet_run (s.fleet, 3000);
+  check_guarantees (&s, seed);
+  ck_assert_uint_gt (s.served, 100);
+  fleet_free (s.fleet);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -944,6 +988,13 @@
   run_seeds (RESTORED_SEEDS, RESTORED_LENGTH, run_restored);
 }
 
+/* Guards against MIXED: the answer to one statement, sent again late, was
+   taken for the answer to the next one.  */
+UNIT_PLAIN (test_an_answer_that_comes_twice_answers_no_other_statement)
+{
+  run_seeds (STUTTER_SEEDS, STUTTER_LENGTH, run_stutter);
+}
+
 #ifdef MUTANTS
 static int
 select_mutant (void)
