Log answers that belong to no statement in flight

Callers got answers of other statements, and the logs could not tell why: unexpected_answer named only the instance, and an answer that was taken for that of another statement left no line. What does not match is logged and counted, and nothing else is changed yet.

--- /dev/null
+++ b/src/proxy/answer_check.h
@@ -0,0 +1,75 @@
+/* answer_check - tells the answer to a statement from another answer that the
+   instance sends a second time.
+
+   Answers carry no id of their statement; on a connection they are matched to
+   the statements by their order.  An instance that sends an answer twice, the
+   second time while the next statement is in flight, breaks that order.  What
+   an answer contains shows whether it fits its statement:
+
+   - A read, write or COMMIT that ran has a signature, which no other answer
+     has.  All other successes are unsigned.
+   - The state of the transaction and the presence of rows follow from the kind
+     of the statement.
+   - An error that is equal to an earlier one of the connection, the position
+     of the log included, may be either.  So may any error of an instance that
+     has sent an answer twice.
+
+   A signature is remembered for ANSWER_CHECK_KEEP_MS at least, unless there
+   are more than ANSWER_CHECK_SIGNATURES later ones.  */
+
+#ifndef SAVORYWAY_PROXY_ANSWER_CHECK_H
+#define SAVORYWAY_PROXY_ANSWER_CHECK_H
+
+#include "kernel/clock.h"
+#include "proxy/statement.h"
+
+/* How late the second of two equal answers may be.  */
+#define ANSWER_CHECK_KEEP_MS 10000
+
+/* Maximum number of signatures that a connection remembers.  */
+#define ANSWER_CHECK_SIGNATURES 4096
+
+/* Number of errors that a connection remembers.  */
+#define ANSWER_CHECK_ERRORS 8
+
+enum answer_verdict
+{
+  ANSWER_OWN,      /* belongs to the statement */
+  ANSWER_FOREIGN,  /* belongs to another one; that of the statement follows */
+  ANSWER_DOUBTFUL, /* an error that may belong to it or not */
+  ANSWER_UNFIT     /* fits no statement: the order is lost */
+};
+
+struct answer_check
+{
+  uint64_t *signatures; /* hashes; a ring */
+  size_t capacity;
+  size_t next;
+  clk_ms wrapped_ms; /* when NEXT was 0 last */
+  struct
+  {
+    uint64_t hash; /* 0: none */
+    clk_ms at_ms;
+  } errors[ANSWER_CHECK_ERRORS];
+  size_t next_error;
+  bool distrusted; /* an answer was not the statement's own */
+};
+
+/* Releases what CHECK holds.  A zeroed struct is a valid, empty one.  */
+void answer_check_clear (struct answer_check *check);
+
+/* Returns whether ANSWER belongs to a statement of KIND, the oldest that is
+   not answered, where the answers before left the transaction in STATE.  If it
+   may, it is remembered.  */
+enum answer_verdict answer_check_match (struct answer_check *check,
+                                        enum stmt_kind kind,
+                                        enum tx_state state,
+                                        const struct answer *answer,
+                                        clk_ms now_ms);
+
+/* Returns whether ANSWER, which came while no statement was in flight, leaves
+   the connection with a transaction in STATE as it was.  */
+bool answer_check_is_harmless (struct answer_check *check, enum tx_state state,
+                               const struct answer *answer);
+
+#endif
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -38,6 +38,7 @@
   DL_DELETE (backend->conns, conn);
   pool_remove_conn (conn);
   forget_statements (conn);
+  answer_check_clear (&conn->check);
   free (conn);
 }
 
@@ -155,6 +156,27 @@
     }
 }
 
+/* Logs that ANSWER doesn't belong to the oldest statement in flight; PENDING
+   is NULL if there is none.  */
+static void
+log_unmatched (const struct backend_conn *conn,
+               const struct pending_answer *pending,
+               const struct answer *answer)
+{
+  const struct backend *backend = conn->backend;
+  metrics_increment (kernel_metrics (backend->options.kernel),
+                     "answers_unmatched_total");
+  log_event (
+      backend_log (backend), LOG_WARNING, "answer_unmatched",
+      LOG_S ("instance", backend->entry.id),
+      LOG_S ("code", code_name (answer->code)),
+      LOG_S ("signature", answer->signature),
+      LOG_S ("awaited",
+             pending != NULL ? stmt_kind_name (pending->kind) : NULL),
+      LOG_I ("sent_ms_ago",
+             pending != NULL ? backend_now (backend) - pending->sent_ms : -1));
+}
+
 static void
 on_answer (void *arg, const struct answer *answer)
 {
@@ -162,8 +184,7 @@
   struct backend *backend = conn->backend;
   if (conn->pending_count == 0)
     {
-      log_event (backend_log (backend), LOG_WARNING, "unexpected_answer",
-                 LOG_S ("instance", backend->entry.id));
+      log_unmatched (conn, NULL, answer);
       struct conn_user *user = conn->user;
       conn_close (conn);
       if (user != NULL)
@@ -173,6 +194,10 @@
   struct pending_answer pending = conn->pending[conn->pending_head];
   conn->pending_head = (conn->pending_head + 1) % PENDING_LIMIT;
   conn->pending_count--;
+  enum answer_verdict verdict = answer_check_match (
+      &conn->check, pending.kind, conn->state, answer, backend_now (backend));
+  if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
+    log_unmatched (conn, &pending, answer);
   conn->state = answer->state;
   count_bytes (conn, pending.step, answer->body_bytes);
   if (answer->has_position)
@@ -277,8 +302,8 @@
   uint32_t place = (conn->pending_head + conn->pending_count) % PENDING_LIMIT;
   if (conn->pending_count == PENDING_LIMIT)
     abort (); /* VALUES_LIMIT and CALLER_VALUES_FLIGHT bound them */
-  conn->pending[place]
-      = (struct pending_answer){ step, backend_now (backend) };
+  conn->pending[place] = (struct pending_answer){ step, statement->kind,
+                                                  backend_now (backend) };
   conn->pending_count++;
   count_sent (conn, step, statement);
   backend->options.port->ops->send (backend->options.port, conn->link,
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -3,6 +3,7 @@
 #ifndef SAVORYWAY_PROXY_BACKEND_IMPL_H
 #define SAVORYWAY_PROXY_BACKEND_IMPL_H
 
+#include "proxy/answer_check.h"
 #include "proxy/backend.h"
 
 /* Maximum number of statements in flight on a connection.  Most of them are
@@ -22,6 +23,7 @@
 struct pending_answer
 {
   enum conn_step step;
+  enum stmt_kind kind;
   clk_ms sent_ms;
 };
 
@@ -54,6 +56,7 @@
   struct pending_answer pending[PENDING_LIMIT]; /* ring, oldest first */
   uint32_t pending_head;
   uint32_t pending_count;
+  struct answer_check check;
   clk_ms since_ms;       /* start of the phase */
   clk_ms used_ms;        /* last use for a caller; when opened, if none */
   struct ktimer timeout; /* of opening or cleaning */
--- a/src/proxy/statement.c
+++ b/src/proxy/statement.c
@@ -19,6 +19,32 @@
   [CODE_LOST] = "lost",
 };
 
+static const char *const stmt_kind_names[] = {
+  [STMT_UNKNOWN] = "unknown",
+  [STMT_BEGIN] = "begin",
+  [STMT_BEGIN_READ] = "begin_read",
+  [STMT_COMMIT] = "commit",
+  [STMT_ROLLBACK] = "rollback",
+  [STMT_READ] = "read",
+  [STMT_WRITE] = "write",
+  [STMT_SET] = "set",
+  [STMT_PREPARE_READ] = "prepare_read",
+  [STMT_PREPARE_WRITE] = "prepare_write",
+  [STMT_EXECUTE] = "execute",
+  [STMT_DEALLOCATE] = "deallocate",
+  [STMT_RESET] = "reset",
+  [STMT_STATUS] = "status",
+  [STMT_STEPDOWN] = "stepdown",
+  [STMT_PAUSE] = "pause",
+  [STMT_RESUME] = "resume",
+};
+
+const char *
+stmt_kind_name (enum stmt_kind kind)
+{
+  return stmt_kind_names[kind];
+}
+
 const char *
 code_name (enum code code)
 {
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -36,6 +36,8 @@
   STMT_RESUME
 };
 
+const char *stmt_kind_name (enum stmt_kind kind);
+
 /* A statement.  The strings are valid only during the call that they are
    passed to.  */
 struct statement
