Put answers of instances together by their grammar

Callers got an answer that was not whole or of two answers: an instance that cuts an answer short and goes on with the next whole one made both one answer, and a READY alone, such as a greeting that comes again, was an empty success. Cause: the messages of an answer were collected in any order. Change: wire_reply accepts rows, then COMPLETE or ERROR, then READY, and nothing else. What follows the first part of an answer must not begin anew, in the middle of a line or with the first row of this or an earlier answer. Else the connection is closed, so that reads run elsewhere and no caller gets a part.

--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -98,6 +98,7 @@
   /* By the instance, of a statement that it ran; no two have the same.  NULL:
      unsigned.  */
   const char *signature;
+  bool is_greeting; /* answers the opening of the connection */
   enum tx_state state;
   bool has_position;
   struct position position;
--- /dev/null
+++ b/tests/unit/test_wire_reply.c
@@ -0,0 +1,258 @@
+/* Answers of instances as they arrive on a connection: in pieces, cut short,
+   or unasked.  */
+
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "kernel/mem.h"
+#include "platform/wire.h"
+#include "platform/wire_instance.h"
+#include "platform/wire_reply.h"
+#include "port/address.h"
+#include "unit.h"
+
+static struct wire_reply reply;
+
+/* Receives TEXT, the bytes that arrive together, and returns the status of the
+   answer.  IN holds what was left of earlier bytes.  */
+static enum wire_reply_status
+receive (struct evbuffer *in, const char *text)
+{
+  enum wire_reply_status status = REPLY_INCOMPLETE;
+  size_t length, searched = 0;
+  char *line;
+  evbuffer_add (in, text, strlen (text));
+  if (!wire_reply_continues (&reply, in))
+    return REPLY_MALFORMED;
+  while (
+      status == REPLY_INCOMPLETE
+      && (line = wire_take_message (in, EVBUFFER_EOL_CRLF, &searched, &length))
+             != NULL)
+    {
+      status = wire_reply_add (&reply, line, length);
+      free (line);
+    }
+  wire_reply_pause (&reply, in);
+  return status;
+}
+
+/* Receives the COUNT pieces of an answer and returns its status.  */
+static enum wire_reply_status
+receive_pieces (const char *const *pieces, size_t count)
+{
+  enum wire_reply_status status = REPLY_INCOMPLETE;
+  struct evbuffer *in = evbuffer_new ();
+  for (size_t i = 0; i < count && status == REPLY_INCOMPLETE; i++)
+    status = receive (in, pieces[i]);
+  evbuffer_free (in);
+  return status;
+}
+
+#define PIECES(...)                                                           \
+  (const char *const[]){ __VA_ARGS__ },                                       \
+      sizeof ((const char *const[]){ __VA_ARGS__ }) / sizeof (char *)
+
+UNIT_PLAIN (test_an_answer_may_come_in_any_pieces)
+{
+  static const char text[]
+      = "ROW a\r\nROW b\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n";
+  for (size_t cut = 1; cut < sizeof text - 1; cut++)
+    {
+      char *first = strndup (text, cut);
+      wire_reply_init (&reply);
+      ck_assert_int_eq (receive_pieces (PIECES (first, text + cut)),
+                        REPLY_COMPLETE);
+      const struct answer *answer = wire_reply_answer (&reply);
+      ck_assert_str_eq (answer->body, "ROW a\r\nROW b\r\nCOMPLETE 7.1\r\n");
+      ck_assert_str_eq (answer->signature, "7.1");
+      ck_assert (answer->has_rows);
+      wire_reply_free (&reply);
+      free (first);
+    }
+}
+
+UNIT_PLAIN (test_ready_alone_is_a_greeting)
+{
+  wire_reply_init (&reply);
+  ck_assert_int_eq (receive_pieces (PIECES ("READY I 3.4\r\n")),
+                    REPLY_COMPLETE);
+  ck_assert (wire_reply_answer (&reply)->is_greeting);
+  wire_reply_next (&reply);
+  ck_assert_int_eq (receive_pieces (PIECES ("COMPLETE -\r\nREADY I 3.4\r\n")),
+                    REPLY_COMPLETE);
+  ck_assert (!wire_reply_answer (&reply)->is_greeting);
+  ck_assert_ptr_null (wire_reply_answer (&reply)->signature);
+  wire_reply_free (&reply);
+}
+
+UNIT_PLAIN (test_messages_out_of_order_are_malformed)
+{
+  static const char *const texts[] = {
+    "ROW a\r\nREADY I 3.4\r\n",
+    "COMPLETE 7.1\r\nROW a\r\n",
+    "COMPLETE 7.1\r\nCOMPLETE 7.2\r\n",
+    "COMPLETE 7.1\r\nERROR BUSY i-1\r\n",
+    "ERROR BUSY i-1\r\nROW a\r\n",
+    "ERROR BUSY i-1\r\nCOMPLETE 7.1\r\n",
+    "HELLO\r\n",
+  };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      wire_reply_init (&reply);
+      ck_assert_msg (receive_pieces (PIECES (texts[i])) == REPLY_MALFORMED,
+                     "%s", texts[i]);
+      wire_reply_free (&reply);
+    }
+}
+
+/* Guards against MIXED: the first part of an answer that was cut short and the
+   whole of the next one were passed on as one answer.  */
+UNIT_PLAIN (test_an_answer_that_was_cut_short_is_not_continued_by_another)
+{
+  static const struct
+  {
+    const char *first;
+    const char *second;
+  } rows[] = {
+    { "ROW qhzk", "ROW qhzkwmtr\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "RO", "ROW qhzkwmtr\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "ROW qhzkwmtr\r\n", "ROW qhzkwmtr\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "ROW earlier\r\n", "ROW other\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "ROW earlier\r\nCOMP", "ROW other\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "ROW earlier\r\nCOMPLETE 7.1\r\n", "COMPLETE 7.2\r\nREADY I 3.4\r\n" },
+    { "ROW earlier\r\nCOMPLETE 7.1\r\nREADY I",
+      "COMPLETE 7.2\r\nREADY I 3.4\r\n" },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      wire_reply_init (&reply);
+      ck_assert_int_eq (receive_pieces (PIECES (
+                            "ROW earlier\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n")),
+                        REPLY_COMPLETE);
+      wire_reply_next (&reply);
+      ck_assert_msg (receive_pieces (PIECES (rows[i].first, rows[i].second))
+                         == REPLY_MALFORMED,
+                     "row %zu", i);
+      wire_reply_free (&reply);
+    }
+}
+
+/* A connection to a listener that the test plays the instance on.  */
+
+static struct event_base *base;
+static struct instance_port *port;
+static struct instance_link *instance_link;
+static int listener, peer = -1;
+static int opened, answers, closed;
+static char last[64];
+
+static void
+on_opened (void *arg, const struct answer *hello)
+{
+  (void)arg;
+  (void)hello;
+  opened++;
+}
+
+static void
+on_answer (void *arg, const struct answer *answer)
+{
+  (void)arg;
+  answers++;
+  snprintf (last, sizeof last, "%s",
+            answer->signature != NULL ? answer->signature : "-");
+}
+
+static void
+on_closed (void *arg, enum code code)
+{
+  (void)arg;
+  (void)code;
+  closed++;
+  instance_link = NULL;
+}
+
+static const struct instance_events events = { .opened = on_opened,
+
+                                               .answer = on_answer,
+                                               .closed = on_closed };
+
+static void
+run_events (void)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      struct timeval span = { .tv_usec = 1000 };
+      event_base_loopexit (base, &span);
+      event_base_dispatch (base);
+    }
+}
+
+static void
+play (const char *text)
+{
+  ck_assert_int_eq (write (peer, text, strlen (text)), (int)strlen (text));
+  run_events ();
+}
+
+static void
+setup (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (
+      bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (listen (listener, 1), 0);
+  base = event_base_new ();
+  port = wire_instance_new (base, "host-1");
+  instance_link = port->ops->open (
+      port,
+      &(struct instance_target){ .address = "127.0.0.1",
+                                 .port = address_bound_port (listener),
+                                 .group = "ledger",
+                                 .id = "i-1" },
+      &events, NULL);
+  peer = accept (listener, NULL, NULL);
+  play ("READY I 3.4\r\n");
+  ck_assert_int_eq (opened, 1);
+}
+
+static void
+teardown (void)
+{
+  if (instance_link != NULL)
+    port->ops->close (port, instance_link);
+  close (peer);
+  close (listener);
+  wire_instance_free (port);
+  event_base_free (base);
+}
+
+UNIT_TEST (test_an_answer_cut_short_and_followed_by_another_closes)
+{
+  play ("ROW ab");
+  play ("ROW abc\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 0);
+  ck_assert_int_eq (closed, 1);
+}
+
+UNIT_TEST (test_an_answer_before_the_greeting_closes)
+{
+  port->ops->close (port, instance_link);
+  instance_link = port->ops->open (
+      port,
+      &(struct instance_target){ .address = "127.0.0.1",
+                                 .port = address_bound_port (listener),
+                                 .group = "ledger",
+                                 .id = "i-1" },
+      &events, NULL);
+  close (peer);
+  peer = accept (listener, NULL, NULL);
+  play ("COMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (opened, 1);
+  ck_assert_int_eq (closed, 1);
+}
+
+UNIT_MAIN ("wire_reply", .setup = setup, .teardown = teardown)
