Match answers of instances to statements by what they contain

Callers got the answers of other statements (MIXED), and might have been told that a write that ran had been refused, or that it failed: instances that stutter send an answer twice, the second time late, when the next statement is in flight. Cause: answers carry no id, and a connection matched them to statements by their number alone, whatever they were. Change: a read, write or COMMIT succeeds only with a signature that the connection has not had before; any other success must leave the transaction, the rows and the log as its statement does; an answer that begins while nothing is in flight is nobody's. What belongs to another statement is skipped, as the statement's own answer is still due, and the connection is closed when it is released; if the order is lost it is closed at once. An error that may have come before promises nothing: outside transactions a RESET behind it tells whether the statement has another answer, inside of them the connection is closed, which ends the transaction.

--- a/src/port/instance_port.h
+++ b/src/port/instance_port.h
@@ -25,6 +25,8 @@
 struct instance_events
 {
   void (*opened) (void *arg, const struct answer *hello);
+  /* The first part of an answer has been received.  */
+  void (*began) (void *arg);
   void (*answer) (void *arg, const struct answer *answer);
   /* CODE is the reason given by the instance, or CODE_LOST.  */
   void (*closed) (void *arg, enum code code);
--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -58,24 +58,49 @@
   check->signatures[check->next++] = signature;
 }
 
-/* Returns whether ANSWER is equal to an earlier error, and remembers it.  */
+static struct position
+position_of (const struct answer *answer)
+{
+  return answer->has_position ? answer->position : (struct position){ 0 };
+}
+
+/* Returns whether an error like ERROR may have come before.  The log of an
+   instance grows, so one that is forgotten was at an earlier position.  */
 static bool
-is_earlier_error (struct answer_check *check, const struct answer *answer,
-                  clk_ms now_ms)
+is_earlier_error (const struct answer_check *check,
+                  const struct answer_error *error)
 {
-  const uint64_t parts[] = { (uint64_t)answer->code, (uint64_t)answer->state,
-                             answer->has_position ? answer->position.term : 0,
-                             answer->has_position ? answer->position.lsn : 0 };
-  uint64_t hash = hash_text (answer->text, XXH64 (parts, sizeof parts, 0));
-  bool found = false;
+  const struct answer_error *forgotten = &check->forgotten;
+  if (forgotten->at_ms != 0
+      && error->at_ms - forgotten->at_ms < ANSWER_CHECK_KEEP_MS
+      && position_compare (error->position, forgotten->position) <= 0)
+    return true;
   for (size_t i = 0; i < ANSWER_CHECK_ERRORS; i++)
-    if (check->errors[i].hash == hash
-        && now_ms - check->errors[i].at_ms < ANSWER_CHECK_KEEP_MS)
-      found = true;
-  check->errors[check->next_error].hash = hash;
-  check->errors[check->next_error].at_ms = now_ms;
+    if (check->errors[i].at_ms != 0 && check->errors[i].hash == error->hash
+        && error->at_ms - check->errors[i].at_ms < ANSWER_CHECK_KEEP_MS)
+      return true;
+  return false;
+}
+
+/* Remembers ANSWER, an error.  Returns whether it may have come before.  */
+static bool
+note_error (struct answer_check *check, const struct answer *answer,
+            clk_ms now_ms)
+{
+  struct position position = position_of (answer);
+  const uint64_t parts[] = { (uint64_t)answer->code, (uint64_t)answer->state,
+                             position.term, position.lsn };
+  struct answer_error error
+      = { .hash = hash_text (answer->text, XXH64 (parts, sizeof parts, 0)),
+          .position = position,
+          .at_ms = now_ms };
+  bool earlier = is_earlier_error (check, &error);
+  struct answer_error *place = &check->errors[check->next_error];
+  if (place->at_ms != 0)
+    check->forgotten = *place;
+  *place = error;
   check->next_error = (check->next_error + 1) % ANSWER_CHECK_ERRORS;
-  return found;
+  return earlier;
 }
 
 static bool
@@ -123,62 +148,80 @@
 }
 
 static enum answer_verdict
-match_error (struct answer_check *check, enum stmt_kind kind,
-             enum tx_state state, const struct answer *answer, clk_ms now_ms)
+match_error (struct answer_check *check, const struct answer_awaited *awaited,
+             const struct answer *answer, clk_ms now_ms)
 {
-  bool earlier = is_earlier_error (check, answer, now_ms);
-  if (!error_fits (kind, state, answer->state))
+  bool earlier = note_error (check, answer, now_ms);
+  if (!error_fits (awaited->kind, awaited->state, answer->state))
     return ANSWER_UNFIT;
   /* An error of the proxy's own statements promises nothing to a caller.  */
-  if (is_signed_kind (kind) && (earlier || check->distrusted))
+  if (is_signed_kind (awaited->kind) && (earlier || check->distrusted))
     return ANSWER_DOUBTFUL;
   return ANSWER_OWN;
 }
 
 static enum answer_verdict
-match_signed (struct answer_check *check, enum stmt_kind kind,
-              enum tx_state state, const struct answer *answer, clk_ms now_ms)
+match_signed (struct answer_check *check, const struct answer_awaited *awaited,
+              const struct answer *answer, clk_ms now_ms)
 {
   uint64_t signature = hash_text (answer->signature, 0);
   if (is_known (check, signature))
     return ANSWER_FOREIGN;
-  if (!is_signed_kind (kind) || !success_fits (kind, state, answer->state))
+  if (!is_signed_kind (awaited->kind)
+      || !success_fits (awaited->kind, awaited->state, answer->state))
     return ANSWER_UNFIT;
   remember_signature (check, signature, now_ms);
   return ANSWER_OWN;
 }
 
 static enum answer_verdict
-match_unsigned (enum stmt_kind kind, enum tx_state state,
+match_unsigned (struct answer_check *check,
+                const struct answer_awaited *awaited,
                 const struct answer *answer)
 {
-  if (is_signed_kind (kind))
+  struct position position = position_of (answer);
+  if (answer->is_greeting || is_signed_kind (awaited->kind))
     return ANSWER_FOREIGN;
-  if (answer->has_rows != reports_status (kind)
-      || !success_fits (kind, state, answer->state))
+  if (answer->has_rows != reports_status (awaited->kind)
+      || !success_fits (awaited->kind, awaited->state, answer->state)
+      || (answer->has_position
+          && position_compare (position, awaited->position) < 0))
     return ANSWER_UNFIT;
+  check->unsigned_position = position;
   return ANSWER_OWN;
 }
 
 enum answer_verdict
-answer_check_match (struct answer_check *check, enum stmt_kind kind,
-                    enum tx_state state, const struct answer *answer,
-                    clk_ms now_ms)
+answer_check_match (struct answer_check *check,
+                    const struct answer_awaited *awaited,
+                    const struct answer *answer, clk_ms now_ms)
 {
   enum answer_verdict verdict;
   if (MUTANT (trust_order))
     return ANSWER_OWN;
   if (answer->code != CODE_OK)
-    verdict = match_error (check, kind, state, answer, now_ms);
+    verdict = match_error (check, awaited, answer, now_ms);
   else if (answer->signature != NULL)
-    verdict = match_signed (check, kind, state, answer, now_ms);
+    verdict = match_signed (check, awaited, answer, now_ms);
   else
-    verdict = match_unsigned (kind, state, answer);
+    verdict = match_unsigned (check, awaited, answer);
   if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
     check->distrusted = true;
   return verdict;
 }
 
+bool
+answer_check_is_fence (struct answer_check *check, const struct answer *answer)
+{
+  struct position position = position_of (answer);
+  if (answer->code != CODE_OK || answer->signature != NULL || answer->has_rows
+      || answer->is_greeting || answer->state != TX_IDLE
+      || position_compare (position, check->unsigned_position) <= 0)
+    return false;
+  check->unsigned_position = position;
+  return true;
+}
+
 bool
 answer_check_is_harmless (struct answer_check *check, enum tx_state state,
                           const struct answer *answer)
@@ -186,6 +229,8 @@
   check->distrusted = true;
   if (answer->code != CODE_OK)
     return false;
+  if (answer->is_greeting)
+    return true;
   if (answer->signature != NULL)
     return is_known (check, hash_text (answer->signature, 0));
   return !answer->has_rows && answer->state == state;
--- a/src/proxy/answer_check.h
+++ b/src/proxy/answer_check.h
@@ -9,7 +9,7 @@
    - A read, write or COMMIT that ran has a signature, which no other answer
      has.  All other successes are unsigned.
    - The state of the transaction and the presence of rows follow from the kind
-     of the statement.
+     of the statement, and the log doesn't go back.
    - An error that is equal to an earlier one of the connection, the position
      of the log included, may be either.  So may any error of an instance that
      has sent an answer twice.
@@ -40,33 +40,50 @@
   ANSWER_UNFIT     /* fits no statement: the order is lost */
 };
 
+/* The oldest statement that is not answered.  */
+struct answer_awaited
+{
+  enum stmt_kind kind;
+  enum tx_state state;      /* after the answers before */
+  struct position position; /* of the log, known when it was sent */
+};
+
+/* An error that was received; AT_MS is 0 if there is none.  */
+struct answer_error
+{
+  uint64_t hash;
+  struct position position;
+  clk_ms at_ms;
+};
+
 struct answer_check
 {
   uint64_t *signatures; /* hashes; a ring */
   size_t capacity;
   size_t next;
-  clk_ms wrapped_ms; /* when NEXT was 0 last */
-  struct
-  {
-    uint64_t hash; /* 0: none */
-    clk_ms at_ms;
-  } errors[ANSWER_CHECK_ERRORS];
+  clk_ms wrapped_ms;                               /* when NEXT was 0 last */
+  struct answer_error errors[ANSWER_CHECK_ERRORS]; /* a ring */
   size_t next_error;
+  struct answer_error forgotten;     /* the last one that was overwritten */
+  struct position unsigned_position; /* of the last unsigned success */
   bool distrusted; /* an answer was not the statement's own */
 };
 
 /* Releases what CHECK holds.  A zeroed struct is a valid, empty one.  */
 void answer_check_clear (struct answer_check *check);
 
-/* Returns whether ANSWER belongs to a statement of KIND, the oldest that is
-   not answered, where the answers before left the transaction in STATE.  If it
-   may, it is remembered.  */
+/* Returns whether ANSWER belongs to AWAITED.  If it may, it is remembered.  */
 enum answer_verdict answer_check_match (struct answer_check *check,
-                                        enum stmt_kind kind,
-                                        enum tx_state state,
+                                        const struct answer_awaited *awaited,
                                         const struct answer *answer,
                                         clk_ms now_ms);
 
+/* Returns whether ANSWER is certainly the one to a RESET that was sent behind
+   a doubtful error: an unsigned success, at a later position than any before.
+ */
+bool answer_check_is_fence (struct answer_check *check,
+                            const struct answer *answer);
+
 /* Returns whether ANSWER, which came while no statement was in flight, leaves
    the connection with a transaction in STATE as it was.  */
 bool answer_check_is_harmless (struct answer_check *check, enum tx_state state,
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -9,6 +9,14 @@
    transaction is open on it and all statements are answered; otherwise it is
    closed.  So a late answer or an open transaction can't reach another user.
 
+   An answer is passed to the user only if it belongs to the user's statement,
+   which answer_check tells.  Another one, which the instance has sent twice,
+   is ignored, and the connection is closed when it is released.  If the order
+   of the answers is lost, it is closed at once.  An error that may have been
+   sent twice is held back until the answer to a RESET behind it has shown that
+   the statement has no other answer; in a transaction, where there can be no
+   RESET, the connection is closed too.
+
    The statements that set a connection up are answered before the statement
    that needs them is sent: otherwise it could run with the wrong values after
    one of them was refused.
@@ -102,7 +110,8 @@
   STEP_BEGIN,
   STEP_STATUS,
   STEP_MAIN, /* the statement of the user */
-  STEP_END   /* ROLLBACK sent by the proxy */
+  STEP_END,  /* ROLLBACK sent by the proxy */
+  STEP_FENCE /* RESET sent by the connection; not reported to the user */
 };
 
 struct backend;
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -39,6 +39,7 @@
   pool_remove_conn (conn);
   forget_statements (conn);
   answer_check_clear (&conn->check);
+  free (conn->held_text);
   free (conn);
 }
 
@@ -50,6 +51,20 @@
   conn_free (conn);
 }
 
+/* Closes CONN, on which answers have come that belong to no statement.  */
+static void
+close_distrusted (struct backend_conn *conn)
+{
+  struct backend *backend = conn->backend;
+  struct conn_user *user = conn->user;
+  metrics_increment (kernel_metrics (backend->options.kernel),
+                     "connections_distrusted_total");
+  conn_close (conn);
+  backend_arm_tick (backend, backend_now (backend));
+  if (user != NULL)
+    user->ops->lost (user);
+}
+
 /* Makes CONN idle, and assigns it to a waiting user if there is one.  */
 static void
 conn_idle (struct backend_conn *conn)
@@ -63,6 +78,11 @@
       conn_close (conn);
       return;
     }
+  if (conn->check.distrusted)
+    {
+      close_distrusted (conn);
+      return;
+    }
   if (backend->conn_count > backend->share && pool_has_workspaces (backend))
     {
       conn_close (conn);
@@ -156,8 +176,8 @@
     }
 }
 
-/* Logs that ANSWER doesn't belong to the oldest statement in flight; PENDING
-   is NULL if there is none.  */
+/* Logs that ANSWER doesn't belong to the oldest statement in flight.  PENDING
+   is NULL if there is none, ANSWER if it has only begun.  */
 static void
 log_unmatched (const struct backend_conn *conn,
                const struct pending_answer *pending,
@@ -169,8 +189,8 @@
   log_event (
       backend_log (backend), LOG_WARNING, "answer_unmatched",
       LOG_S ("instance", backend->entry.id),
-      LOG_S ("code", code_name (answer->code)),
-      LOG_S ("signature", answer->signature),
+      LOG_S ("code", answer != NULL ? code_name (answer->code) : NULL),
+      LOG_S ("signature", answer != NULL ? answer->signature : NULL),
       LOG_S ("awaited",
              pending != NULL ? stmt_kind_name (pending->kind) : NULL),
       LOG_I ("sent_ms_ago",
@@ -178,46 +198,153 @@
 }
 
 static void
-on_answer (void *arg, const struct answer *answer)
+send_reset (struct backend_conn *conn, enum conn_step step)
+{
+  conn_send (conn, step, &(struct statement){ .kind = STMT_RESET }, NULL);
+  conn->values_hash = 0;
+  forget_statements (conn);
+}
+
+/* Removes the oldest statement in flight and returns it.  */
+static struct pending_answer
+take_pending (struct backend_conn *conn)
 {
-  struct backend_conn *conn = arg;
-  struct backend *backend = conn->backend;
-  if (conn->pending_count == 0)
-    {
-      log_unmatched (conn, NULL, answer);
-      struct conn_user *user = conn->user;
-      conn_close (conn);
-      if (user != NULL)
-        user->ops->lost (user);
-      return;
-    }
   struct pending_answer pending = conn->pending[conn->pending_head];
   conn->pending_head = (conn->pending_head + 1) % PENDING_LIMIT;
   conn->pending_count--;
-  enum answer_verdict verdict = answer_check_match (
-      &conn->check, pending.kind, conn->state, answer, backend_now (backend));
-  if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
-    log_unmatched (conn, &pending, answer);
+  return pending;
+}
+
+/* Passes ANSWER, which belongs to PENDING, on to the user.  */
+static void
+pass_answer (struct backend_conn *conn, const struct pending_answer *pending,
+             const struct answer *answer)
+{
+  struct backend *backend = conn->backend;
   conn->state = answer->state;
-  count_bytes (conn, pending.step, answer->body_bytes);
+  count_bytes (conn, pending->step, answer->body_bytes);
   if (answer->has_position)
     backend->position = answer->position;
   backend_note_answer (backend);
-  if (pending.step == STEP_BEGIN && answer->code == CODE_READONLY)
+  if (pending->step == STEP_BEGIN && answer->code == CODE_READONLY)
     backend->options.leader_rejected (backend->options.arg, backend);
-  if (pending.step == STEP_SETUP && answer->code != CODE_OK)
+  if (pending->step == STEP_SETUP && answer->code != CODE_OK)
     {
       /* Its values are unknown: the set-up for the next user starts with
          RESET.  */
       conn->values_hash = UINT64_MAX;
       forget_statements (conn);
     }
-  if (conn->user != NULL)
-    conn->user->ops->answered (conn->user, conn, pending.step, answer);
+  if (conn->user != NULL && pending->step != STEP_FENCE)
+    conn->user->ops->answered (conn->user, conn, pending->step, answer);
   else if (conn->phase == CONN_CLEANING)
     clean (conn);
 }
 
+/* Returns whether the oldest statement in flight, which got an error that may
+   have been sent twice, can be followed by a RESET.  */
+static bool
+may_fence (const struct backend_conn *conn, const struct answer *answer)
+{
+  return conn->pending_count == 1 && conn->state == TX_IDLE
+         && answer->state == TX_IDLE && !conn->holds_error;
+}
+
+/* Holds ERROR back until the answer to the RESET that is sent now.  */
+static void
+hold_error (struct backend_conn *conn, const struct answer *error)
+{
+  free (conn->held_text);
+  conn->held_text = mem_strdup (error->text);
+  conn->held = *error;
+  conn->held.text = conn->held_text;
+  conn->holds_error = true;
+  metrics_increment (kernel_metrics (conn->backend->options.kernel),
+                     "answers_held_total");
+  send_reset (conn, STEP_FENCE);
+}
+
+/* Handles the answer to the RESET: passes on the error that was held
+   back.  */
+static void
+pass_held_error (struct backend_conn *conn)
+{
+  struct answer error = conn->held;
+  conn->holds_error = false;
+  struct pending_answer pending = take_pending (conn);
+  take_pending (conn);
+  pass_answer (conn, &pending, &error);
+}
+
+/* Handles an answer that came while no statement was in flight.  */
+static void
+handle_unawaited (struct backend_conn *conn, const struct answer *answer)
+{
+  bool harmless = answer_check_is_harmless (&conn->check, conn->state, answer);
+  log_unmatched (conn, NULL, answer);
+  if (conn->user == NULL || !harmless)
+    close_distrusted (conn);
+}
+
+/* Tells an answer that was not awaited when it began, also if a statement is
+   sent before it ends.  */
+static void
+on_began (void *arg)
+{
+  struct backend_conn *conn = arg;
+  conn->unawaited = conn->pending_count == 0;
+  if (!conn->unawaited)
+    return;
+  conn->check.distrusted = true;
+  if (conn->user == NULL)
+    {
+      log_unmatched (conn, NULL, NULL);
+      close_distrusted (conn);
+    }
+}
+
+static void
+on_answer (void *arg, const struct answer *answer)
+{
+  struct backend_conn *conn = arg;
+  struct backend *backend = conn->backend;
+  if (conn->unawaited)
+    {
+      handle_unawaited (conn, answer);
+      return;
+    }
+  if (conn->holds_error && answer_check_is_fence (&conn->check, answer))
+    {
+      pass_held_error (conn);
+      return;
+    }
+  struct pending_answer pending = conn->pending[conn->pending_head];
+  struct answer_awaited awaited = { .kind = pending.kind,
+                                    .state = conn->state,
+                                    .position = pending.position };
+  enum answer_verdict verdict = answer_check_match (
+      &conn->check, &awaited, answer, backend_now (backend));
+  if (verdict == ANSWER_DOUBTFUL && may_fence (conn, answer))
+    {
+      hold_error (conn, answer);
+      return;
+    }
+  if (verdict == ANSWER_OWN)
+    {
+      conn->holds_error = false;
+      take_pending (conn);
+      pass_answer (conn, &pending, answer);
+      return;
+    }
+  log_unmatched (conn, &pending, answer);
+  if (verdict == ANSWER_FOREIGN && !conn->holds_error)
+    return;
+  /* A log that went back is known as it is now to the next connections.  */
+  if (answer->has_position)
+    backend->position = answer->position;
+  close_distrusted (conn);
+}
+
 static void
 on_closed (void *arg, enum code code)
 {
@@ -250,8 +377,10 @@
     user->ops->lost (user);
 }
 
-static const struct instance_events events
-    = { .opened = on_opened, .answer = on_answer, .closed = on_closed };
+static const struct instance_events events = { .opened = on_opened,
+                                               .began = on_began,
+                                               .answer = on_answer,
+                                               .closed = on_closed };
 
 /* Closes a connection that was not opened or cleaned in time.  */
 static void
@@ -302,8 +431,11 @@
   uint32_t place = (conn->pending_head + conn->pending_count) % PENDING_LIMIT;
   if (conn->pending_count == PENDING_LIMIT)
     abort (); /* VALUES_LIMIT and CALLER_VALUES_FLIGHT bound them */
-  conn->pending[place] = (struct pending_answer){ step, statement->kind,
-                                                  backend_now (backend) };
+  conn->pending[place]
+      = (struct pending_answer){ .step = step,
+                                 .kind = statement->kind,
+                                 .position = backend->position,
+                                 .sent_ms = backend_now (backend) };
   conn->pending_count++;
   count_sent (conn, step, statement);
   backend->options.port->ops->send (backend->options.port, conn->link,
@@ -317,15 +449,6 @@
   snprintf (out, size, "%c_%s", kind == STMT_PREPARE_WRITE ? 'w' : 'r', shape);
 }
 
-static void
-send_reset (struct backend_conn *conn)
-{
-  conn_send (conn, STEP_SETUP, &(struct statement){ .kind = STMT_RESET },
-             NULL);
-  conn->values_hash = 0;
-  forget_statements (conn);
-}
-
 static void
 send_values (struct backend_conn *conn, const struct values *values)
 {
@@ -357,7 +480,7 @@
   if (conn->values_hash != values->hash && !MUTANT (skip_values))
     {
       if (conn->values_hash != 0 && !in_transaction)
-        send_reset (conn);
+        send_reset (conn, STEP_SETUP);
       send_values (conn, values);
     }
   if (shape == NULL)
@@ -367,7 +490,7 @@
     return conn->pending_count > before;
   if (conn->statement_count == BACKEND_PREPARED_LIMIT && !in_transaction)
     {
-      send_reset (conn);
+      send_reset (conn, STEP_SETUP);
       send_values (conn, values);
     }
   conn_send (conn, STEP_SETUP,
@@ -413,6 +536,11 @@
       conn_close (conn);
       return;
     }
+  if (conn->check.distrusted)
+    {
+      close_distrusted (conn);
+      return;
+    }
   conn_set_phase (conn, CONN_CLEANING);
   kernel_timer_set (backend->options.kernel, &conn->timeout,
                     backend_now (backend) + BACKEND_LATE_ANSWER_TIMEOUT_MS);
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -24,6 +24,7 @@
 {
   enum conn_step step;
   enum stmt_kind kind;
+  struct position position; /* that the instance had reported before */
   clk_ms sent_ms;
 };
 
@@ -57,6 +58,10 @@
   uint32_t pending_head;
   uint32_t pending_count;
   struct answer_check check;
+  bool unawaited;   /* the answer that began last, when none was awaited */
+  bool holds_error; /* to the oldest statement in flight */
+  struct answer held;
+  char *held_text;
   clk_ms since_ms;       /* start of the phase */
   clk_ms used_ms;        /* last use for a caller; when opened, if none */
   struct ktimer timeout; /* of opening or cleaning */
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -194,6 +194,8 @@
                       repeat);
       return;
     }
+  if (link->host != NULL && !is_cut (link) && !link->dead)
+    link->events->began (link->arg);
   if (link->host != NULL && !is_cut (link) && !link->dead)
     link->events->answer (link->arg, &repeat->answer);
   link->steps--;
@@ -241,6 +243,9 @@
   if (link->instance->repeated_percent > 0
       && chance (link, link->instance->repeated_percent))
     schedule_repeat (link);
+  link->events->began (link->arg);
+  if (link->host == NULL)
+    return;
   link->events->answer (link->arg, &answer);
   run_next (link);
 }
@@ -726,6 +731,13 @@
   struct answer greeting = { .code = CODE_OK,
                              .has_position = true,
                              .position = instance->applied };
+  if (instance->repeated_percent > 0
+      && chance (link, instance->repeated_percent))
+    {
+      link->answer = greeting;
+      link->answer.is_greeting = true;
+      schedule_repeat (link);
+    }
   link->events->opened (link->arg, &greeting);
 }
 
--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -144,7 +144,7 @@
 static struct instance_port *port;
 static struct instance_link *instance_link;
 static int listener, peer = -1;
-static int opened, answers, closed;
+static int opened, began, answers, closed;
 static char last[64];
 
 static void
@@ -155,6 +155,13 @@
   opened++;
 }
 
+static void
+on_began (void *arg)
+{
+  (void)arg;
+  began++;
+}
+
 static void
 on_answer (void *arg, const struct answer *answer)
 {
@@ -174,7 +181,7 @@
 }
 
 static const struct instance_events events = { .opened = on_opened,
-
+                                               .began = on_began,
                                                .answer = on_answer,
                                                .closed = on_closed };
 
@@ -230,6 +237,20 @@
   event_base_free (base);
 }
 
+UNIT_TEST (test_the_beginning_of_an_answer_is_reported_once)
+{
+  play ("ROW a");
+  ck_assert_int_eq (began, 1);
+  play ("bc\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (began, 1);
+  ck_assert_int_eq (answers, 1);
+  ck_assert_str_eq (last, "7.1");
+  play ("COMPLETE 7.2\r\nREADY I 3.4\r\nCOMPLETE 7.3\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (began, 3);
+  ck_assert_int_eq (answers, 3);
+  ck_assert_str_eq (last, "7.3");
+}
+
 UNIT_TEST (test_an_answer_cut_short_and_followed_by_another_closes)
 {
   play ("ROW ab");
