A line feed in a row of an instance ends no message

A caller could get rows, or a whole answer, that the instance had not sent: a row that holds a lone LF was read as two messages, and the second one may be COMPLETE or READY. Cause: the port accepted LF as well as CR LF as the end of a message. Change: only CR LF ends one, as in the messages of callers.

--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -25,10 +25,10 @@
   evbuffer_add (in, text, strlen (text));
   if (!wire_reply_continues (&reply, in))
     return REPLY_MALFORMED;
-  while (
-      status == REPLY_INCOMPLETE
-      && (line = wire_take_message (in, EVBUFFER_EOL_CRLF, &searched, &length))
-             != NULL)
+  while (status == REPLY_INCOMPLETE
+         && (line = wire_take_message (in, EVBUFFER_EOL_CRLF_STRICT, &searched,
+                                       &length))
+                != NULL)
     {
       status = wire_reply_add (&reply, line, length);
       free (line);
@@ -276,4 +276,15 @@
   ck_assert_int_eq (closed, 1);
 }
 
+/* Guards against MIXED: a row with a lone LF was read as two messages, the
+   second of which could be any.  */
+UNIT_TEST (test_a_row_with_a_lone_line_feed_is_one_row)
+{
+  play ("ROW a\nCOMPLETE 9.9\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 0);
+  play ("COMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 1);
+  ck_assert_str_eq (last, "7.1");
+}
+
 UNIT_MAIN ("wire_reply", .setup = setup, .teardown = teardown)
