Settle a doubtful refusal by two statements behind it

Cause: an instance that is busy refuses twice at the same position of its log, so the second refusal may be the first one again. The RESET behind it settled that only if its answer had a newer position, and there was none in a transaction; the connection was closed. Change: two statements that change nothing follow such an error, in transactions too; one that failed is rolled back first. Only the primary's log is expected not to go back: that of a replica does so when another instance is promoted. Evidence: test_a_refusal_like_an_earlier_one_is_retried got ABORTED before.

--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -175,19 +175,18 @@
 }
 
 static enum answer_verdict
-match_unsigned (struct answer_check *check,
-                const struct answer_awaited *awaited,
+match_unsigned (const struct answer_awaited *awaited,
                 const struct answer *answer)
 {
-  struct position position = position_of (answer);
   if (answer->is_greeting || is_signed_kind (awaited->kind))
     return ANSWER_FOREIGN;
   if (answer->has_rows != reports_status (awaited->kind)
-      || !success_fits (awaited->kind, awaited->state, answer->state)
-      || (answer->has_position
-          && position_compare (position, awaited->position) < 0))
+      || !success_fits (awaited->kind, awaited->state, answer->state))
+    return ANSWER_UNFIT;
+  /* Only the log of the primary never goes back.  */
+  if (awaited->kind == STMT_BEGIN && answer->has_position
+      && position_compare (answer->position, awaited->position) < 0)
     return ANSWER_UNFIT;
-  check->unsigned_position = position;
   return ANSWER_OWN;
 }
 
@@ -204,24 +203,12 @@
   else if (answer->signature != NULL)
     verdict = match_signed (check, awaited, answer, now_ms);
   else
-    verdict = match_unsigned (check, awaited, answer);
+    verdict = match_unsigned (awaited, answer);
   if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
     check->distrusted = true;
   return verdict;
 }
 
-bool
-answer_check_is_fence (struct answer_check *check, const struct answer *answer)
-{
-  struct position position = position_of (answer);
-  if (answer->code != CODE_OK || answer->signature != NULL || answer->has_rows
-      || answer->is_greeting || answer->state != TX_IDLE
-      || position_compare (position, check->unsigned_position) <= 0)
-    return false;
-  check->unsigned_position = position;
-  return true;
-}
-
 bool
 answer_check_is_harmless (struct answer_check *check, enum tx_state state,
                           const struct answer *answer)
--- a/src/proxy/answer_check.h
+++ b/src/proxy/answer_check.h
@@ -9,7 +9,7 @@
    - A read, write or COMMIT that ran has a signature, which no other answer
      has.  All other successes are unsigned.
    - The state of the transaction and the presence of rows follow from the kind
-     of the statement, and the log doesn't go back.
+     of the statement, and the log of a primary doesn't go back.
    - An error that is equal to an earlier one of the connection, the position
      of the log included, may be either.  So may any error of an instance that
      has sent an answer twice.
@@ -64,9 +64,8 @@
   clk_ms wrapped_ms;                               /* when NEXT was 0 last */
   struct answer_error errors[ANSWER_CHECK_ERRORS]; /* a ring */
   size_t next_error;
-  struct answer_error forgotten;     /* the last one that was overwritten */
-  struct position unsigned_position; /* of the last unsigned success */
-  bool distrusted; /* an answer was not the statement's own */
+  struct answer_error forgotten; /* the last one that was overwritten */
+  bool distrusted;               /* an answer was not the statement's own */
 };
 
 /* Releases what CHECK holds.  A zeroed struct is a valid, empty one.  */
@@ -78,12 +77,6 @@
                                         const struct answer *answer,
                                         clk_ms now_ms);
 
-/* Returns whether ANSWER is certainly the one to a RESET that was sent behind
-   a doubtful error: an unsigned success, at a later position than any before.
- */
-bool answer_check_is_fence (struct answer_check *check,
-                            const struct answer *answer);
-
 /* Returns whether ANSWER, which came while no statement was in flight, leaves
    the connection with a transaction in STATE as it was.  */
 bool answer_check_is_harmless (struct answer_check *check, enum tx_state state,
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -13,9 +13,8 @@
    which answer_check tells.  Another one, which the instance has sent twice,
    is ignored, and the connection is closed when it is released.  If the order
    of the answers is lost, it is closed at once.  An error that may have been
-   sent twice is held back until the answer to a RESET behind it has shown that
-   the statement has no other answer; in a transaction, where there can be no
-   RESET, the connection is closed too.
+   sent twice is held back until the answers to BACKEND_FENCES statements behind
+   it have shown that the statement has no other answer.
 
    The statements that set a connection up are answered before the statement
    that needs them is sent: otherwise it could run with the wrong values after
@@ -103,6 +102,10 @@
 /* Maximum number of prepared statements on a connection.  */
 #define BACKEND_PREPARED_LIMIT 64
 
+/* Statements that are sent behind one with a doubtful error.  With a single
+   one, another answer that comes twice would do.  */
+#define BACKEND_FENCES 2
+
 /* Purpose of a statement; passed on with its answer.  */
 enum conn_step
 {
@@ -111,7 +114,7 @@
   STEP_STATUS,
   STEP_MAIN, /* the statement of the user */
   STEP_END,  /* ROLLBACK sent by the proxy */
-  STEP_FENCE /* RESET sent by the connection; not reported to the user */
+  STEP_FENCE /* sent by the connection; not reported to the user */
 };
 
 struct backend;
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -2,6 +2,7 @@
 
 #include "proxy/backend_impl.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -197,14 +198,6 @@
              pending != NULL ? backend_now (backend) - pending->sent_ms : -1));
 }
 
-static void
-send_reset (struct backend_conn *conn, enum conn_step step)
-{
-  conn_send (conn, step, &(struct statement){ .kind = STMT_RESET }, NULL);
-  conn->values_hash = 0;
-  forget_statements (conn);
-}
-
 /* Removes the oldest statement in flight and returns it.  */
 static struct pending_answer
 take_pending (struct backend_conn *conn)
@@ -215,13 +208,14 @@
   return pending;
 }
 
-/* Passes ANSWER, which belongs to PENDING, on to the user.  */
+/* Passes ANSWER, which belongs to PENDING, on to the user.  The answers up to
+   now leave the transaction in STATE.  */
 static void
 pass_answer (struct backend_conn *conn, const struct pending_answer *pending,
-             const struct answer *answer)
+             const struct answer *answer, enum tx_state state)
 {
   struct backend *backend = conn->backend;
-  conn->state = answer->state;
+  conn->state = state;
   count_bytes (conn, pending->step, answer->body_bytes);
   if (answer->has_position)
     backend->position = answer->position;
@@ -241,16 +235,31 @@
     clean (conn);
 }
 
-/* Returns whether the oldest statement in flight, which got an error that may
-   have been sent twice, can be followed by a RESET.  */
-static bool
-may_fence (const struct backend_conn *conn, const struct answer *answer)
+/* Sends statements that succeed and change nothing.  A transaction that has
+   failed must be rolled back for that.  */
+static void
+send_fences (struct backend_conn *conn)
 {
-  return conn->pending_count == 1 && conn->state == TX_IDLE
-         && answer->state == TX_IDLE && !conn->holds_error;
+  char name[24];
+  if (conn->held.state == TX_FAILED && conn->pending_count == 1)
+    conn_send (conn, STEP_FENCE, &(struct statement){ .kind = STMT_ROLLBACK },
+               NULL);
+  for (int i = 0; i < BACKEND_FENCES; i++)
+    {
+      snprintf (name, sizeof name, "fence%" PRIu32, ++conn->fences);
+      conn_send (conn, STEP_FENCE,
+                 &(struct statement){ .kind = STMT_PREPARE_READ,
+                                      .name = name,
+                                      .rest = "fence" },
+                 NULL);
+    }
+  if (conn->fences < BACKEND_PREPARED_LIMIT)
+    return;
+  conn->values_hash = UINT64_MAX; /* lets the next set-up send RESET */
+  forget_statements (conn);
 }
 
-/* Holds ERROR back until the answer to the RESET that is sent now.  */
+/* Holds ERROR back until the statements behind it are answered.  */
 static void
 hold_error (struct backend_conn *conn, const struct answer *error)
 {
@@ -259,21 +268,52 @@
   conn->held = *error;
   conn->held.text = conn->held_text;
   conn->holds_error = true;
+  conn->fenced = 0;
+  conn->fence_state = error->state;
   metrics_increment (kernel_metrics (conn->backend->options.kernel),
                      "answers_held_total");
-  send_reset (conn, STEP_FENCE);
+  send_fences (conn);
 }
 
-/* Handles the answer to the RESET: passes on the error that was held
-   back.  */
+/* Passes on the error that was held back: all statements behind it are
+   answered.  */
 static void
 pass_held_error (struct backend_conn *conn)
 {
   struct answer error = conn->held;
-  conn->holds_error = false;
   struct pending_answer pending = take_pending (conn);
-  take_pending (conn);
-  pass_answer (conn, &pending, &error);
+  while (conn->pending_count > 0)
+    take_pending (conn);
+  conn->holds_error = false;
+  pass_answer (conn, &pending, &error, conn->fence_state);
+}
+
+/* Handles an answer while an error is held back.  Returns false if it may be
+   that of the statement with the error.  */
+static bool
+handle_fenced (struct backend_conn *conn, const struct answer *answer)
+{
+  uint32_t place = (conn->pending_head + 1 + conn->fenced) % PENDING_LIMIT;
+  const struct pending_answer *pending = &conn->pending[place];
+  struct answer_awaited awaited = { .kind = pending->kind,
+                                    .state = conn->fence_state,
+                                    .position = pending->position };
+  if (answer->signature != NULL)
+    return false;
+  enum answer_verdict verdict = answer_check_match (
+      &conn->check, &awaited, answer, backend_now (conn->backend));
+  if (verdict == ANSWER_OWN && answer->code == CODE_OK)
+    {
+      conn->fenced++;
+      conn->fence_state = answer->state;
+      if (conn->fenced + 1 == conn->pending_count)
+        pass_held_error (conn);
+      return true;
+    }
+  log_unmatched (conn, pending, answer);
+  if (!answer->is_greeting)
+    close_distrusted (conn);
+  return true;
 }
 
 /* Handles an answer that came while no statement was in flight.  */
@@ -313,33 +353,33 @@
       handle_unawaited (conn, answer);
       return;
     }
-  if (conn->holds_error && answer_check_is_fence (&conn->check, answer))
-    {
-      pass_held_error (conn);
-      return;
-    }
+  if (conn->holds_error && handle_fenced (conn, answer))
+    return;
   struct pending_answer pending = conn->pending[conn->pending_head];
   struct answer_awaited awaited = { .kind = pending.kind,
                                     .state = conn->state,
                                     .position = pending.position };
-  enum answer_verdict verdict = answer_check_match (
-      &conn->check, &awaited, answer, backend_now (backend));
-  if (verdict == ANSWER_DOUBTFUL && may_fence (conn, answer))
-    {
-      hold_error (conn, answer);
-      return;
-    }
-  if (verdict == ANSWER_OWN)
+  switch (answer_check_match (&conn->check, &awaited, answer,
+                              backend_now (backend)))
     {
+    case ANSWER_OWN:
+      if (conn->holds_error && conn->held.state == TX_FAILED)
+        break; /* it ran, but its transaction is being rolled back */
       conn->holds_error = false;
       take_pending (conn);
-      pass_answer (conn, &pending, answer);
+      pass_answer (conn, &pending, answer, answer->state);
       return;
+    case ANSWER_DOUBTFUL:
+      hold_error (conn, answer);
+      return;
+    case ANSWER_FOREIGN:
+      log_unmatched (conn, &pending, answer);
+      return;
+    case ANSWER_UNFIT:
+      break;
     }
   log_unmatched (conn, &pending, answer);
-  if (verdict == ANSWER_FOREIGN && !conn->holds_error)
-    return;
-  /* A log that went back is known as it is now to the next connections.  */
+  /* If the log went back, the next connections know it as it is now.  */
   if (answer->has_position)
     backend->position = answer->position;
   close_distrusted (conn);
@@ -449,6 +489,16 @@
   snprintf (out, size, "%c_%s", kind == STMT_PREPARE_WRITE ? 'w' : 'r', shape);
 }
 
+static void
+send_reset (struct backend_conn *conn)
+{
+  conn_send (conn, STEP_SETUP, &(struct statement){ .kind = STMT_RESET },
+             NULL);
+  conn->values_hash = 0;
+  conn->fences = 0;
+  forget_statements (conn);
+}
+
 static void
 send_values (struct backend_conn *conn, const struct values *values)
 {
@@ -480,7 +530,7 @@
   if (conn->values_hash != values->hash && !MUTANT (skip_values))
     {
       if (conn->values_hash != 0 && !in_transaction)
-        send_reset (conn, STEP_SETUP);
+        send_reset (conn);
       send_values (conn, values);
     }
   if (shape == NULL)
@@ -490,7 +540,7 @@
     return conn->pending_count > before;
   if (conn->statement_count == BACKEND_PREPARED_LIMIT && !in_transaction)
     {
-      send_reset (conn, STEP_SETUP);
+      send_reset (conn);
       send_values (conn, values);
     }
   conn_send (conn, STEP_SETUP,
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -62,6 +62,9 @@
   bool holds_error; /* to the oldest statement in flight */
   struct answer held;
   char *held_text;
+  uint32_t fenced;           /* statements behind it that are answered */
+  enum tx_state fence_state; /* after these */
+  uint32_t fences;           /* names of them that the instance knows */
   clk_ms since_ms;       /* start of the phase */
   clk_ms used_ms;        /* last use for a caller; when opened, if none */
   struct ktimer timeout; /* of opening or cleaning */
--- a/tests/unit/test_answer_check.c
+++ b/tests/unit/test_answer_check.c
@@ -123,6 +123,9 @@
   ck_assert_int_eq (match (STMT_BEGIN, TX_IDLE, &answer), ANSWER_UNFIT);
   answer.position.lsn = 100;
   ck_assert_int_eq (match (STMT_BEGIN, TX_IDLE, &answer), ANSWER_OWN);
+  /* The log of a replica may lose what was not committed.  */
+  answer.position.lsn = 99;
+  ck_assert_int_eq (match (STMT_BEGIN_READ, TX_IDLE, &answer), ANSWER_OWN);
 }
 
 /* Guards against REFUSED: a write ran, and its caller was told that the
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -169,6 +169,33 @@
   ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
 }
 
+/* Guards against writes of unknown outcome: a refusal that was equal to an
+   earlier one, as nothing was committed between, closed the connection.  */
+UNIT_TEST (test_a_refusal_like_an_earlier_one_is_retried)
+{
+  struct fleet_instance *primary = fleet_instance (fleet, 0);
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  ck_assert_int_eq (run (caller, STMT_WRITE, "a 1", NULL), CODE_OK);
+  uint64_t opened = primary->opened;
+  for (int i = 0; i < 20; i++)
+    {
+      bool in_transaction = i % 2 != 0;
+      if (in_transaction)
+        ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+      primary->busy_percent = 100;
+      fleet_caller_send (caller, STMT_WRITE, "a 2", NULL);
+      fleet_run (fleet, 30);
+      primary->busy_percent = 0;
+      fleet_run (fleet, 300);
+      ck_assert (!fleet_caller_waits (caller));
+      ck_assert_int_eq (fleet_caller_code (caller), CODE_OK);
+      if (in_transaction)
+        ck_assert_int_eq (run (caller, STMT_ROLLBACK, NULL, NULL), CODE_OK);
+    }
+  ck_assert_uint_eq (primary->opened, opened);
+}
+
 UNIT_TEST (test_a_write_whose_answer_is_lost_is_not_reported_as_refused)
 {
   struct fleet_caller *caller
