--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -203,6 +203,20 @@
   run_events ();
 }
 
+/* Connects to the listener, and plays the instance from then on.  */
+static void
+open_link (void)
+{
+  instance_link = port->ops->open (
+      port,
+      &(struct instance_target){ .address = "127.0.0.1",
+                                 .port = address_bound_port (listener),
+                                 .group = "ledger",
+                                 .id = "i-1" },
+      &events, NULL);
+  peer = accept (listener, NULL, NULL);
+}
+
 static void
 setup (void)
 {
@@ -214,14 +228,7 @@
   ck_assert_int_eq (listen (listener, 1), 0);
   base = event_base_new ();
   port = wire_instance_new (base, "host-1");
-  instance_link = port->ops->open (
-      port,
-      &(struct instance_target){ .address = "127.0.0.1",
-                                 .port = address_bound_port (listener),
-                                 .group = "ledger",
-                                 .id = "i-1" },
-      &events, NULL);
-  peer = accept (listener, NULL, NULL);
+  open_link ();
   play ("READY I 3.4\r\n");
   ck_assert_int_eq (opened, 1);
 }
@@ -262,15 +269,8 @@
 UNIT_TEST (test_an_answer_before_the_greeting_closes)
 {
   port->ops->close (port, instance_link);
-  instance_link = port->ops->open (
-      port,
-      &(struct instance_target){ .address = "127.0.0.1",
-                                 .port = address_bound_port (listener),
-                                 .group = "ledger",
-                                 .id = "i-1" },
-      &events, NULL);
   close (peer);
-  peer = accept (listener, NULL, NULL);
+  open_link ();
   play ("COMPLETE 7.1\r\nREADY I 3.4\r\n");
   ck_assert_int_eq (opened, 1);
   ck_assert_int_eq (closed, 1);
