Stand-in of instances: transactions, prepared names, answers twice or in parts

The stand-in of the platform answered every statement with the same signature each time, kept no prepared names or values, and applied the writes of a transaction at once, so a test against processes could not tell an answer from that of another statement, nor what an instance had run. Change: reads, writes and COMMIT have a signature that no other run has, all other successes none. Transactions, prepared names and session values work as in the protocol. On request instances send answers twice, the second time late, or in parts, and refuse statements; GET /runs returns what they ran.

--- a/tests/standin/fleet_standin.c
+++ b/tests/standin/fleet_standin.c
@@ -12,24 +12,27 @@
        back   restarts a crashed instance on its old port
        drain  publishes the instance as draining
        slow   takes 300 ms for each WRITE from now on
-     POST /fault {"kind": KIND}
-       copy     takes a copy of the store
-       restore  restores the store from the copy: writes and leases since then
-                are lost, revisions and ids of leases are given out again,
-                pending watches are cut, and Store-Era rises; the instances
-                and the operator write again what they wrote
-       config   adds the route "added-VERSION" to the configuration, which
-                keeps the ROUTES_KEPT newest of them
-       silence  for the next "ms" ms the store loses calls that arrive, each
-                with a chance of "percent" (100): it never answers them, though
-                their connections stay open; pending watches get no answer
-                until then
-       lose_watches  loses the watches that are pending in the same way
-     GET /state  the leader, its term, the number of writes so far and the
-                 version of the configuration, as JSON
-
-   Instances share one set of rows, so replicas have no lag.  "READ ITEM BYTES"
-   answers with a row of BYTES bytes.  */
+     POST /fault {"kind": KIND, "percent": P, "ms": N}   for all instances,
+   until P is 0 stutter  sends answers, the greeting and errors among them, a
+   second time, up to N ms later, each with a chance of P percent cut sends a
+   part of an answer, and the whole of it up to N ms later busy     refuses
+   statements with BUSY POST /fault {"kind": KIND} copy     takes a copy of the
+   store restore  restores the store from the copy: writes and leases since
+   then are lost, revisions and ids of leases are given out again, pending
+   watches are cut, and Store-Era rises; the instances and the operator write
+   again what they wrote config   adds the route "added-VERSION" to the
+   configuration, which keeps the ROUTES_KEPT newest of them silence  for the
+   next "ms" ms the store loses calls that arrive, each with a chance of
+   "percent" (100): it never answers them, though their connections stay open;
+   pending watches get no answer until then lose_watches  loses the watches
+   that are pending in the same way GET /state  the leader, its term, the
+   number of commits so far that wrote, the version of the configuration, and
+   the numbers of answers that were sent twice and cut short, as JSON GET
+   /runs?after=N  the record of what the instances ran
+
+   Instances share one set of rows, so replicas have no lag.  "READ ITEM BYTES
+   ROWS" answers with a row of BYTES bytes, or with the row of the item if that
+   is 0, and further rows up to ROWS in all.  */
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -45,10 +48,13 @@
 #include <event2/listener.h>
 #include <jansson.h>
 #include <utlist.h>
+#include <xxhash.h>
 
+#include "fleet_record.h"
 #include "kernel/mem.h"
 #include "port/address.h"
 #include "port/kv_codec.h"
+#include "proxy/values.h"
 #include "standin_control.h"
 
 #define INSTANCES 3
@@ -64,6 +70,10 @@
 #define SILENCE_POLL_US 50000
 #define CONNECTIONS 200 /* of an instance, from all hosts */
 #define ROW_LIMIT_BYTES ((size_t)1000 * 1000)
+#define ROWS_LIMIT 100
+#define ITEMS 64
+#define DATA_BYTES 64 /* of a row, with the final NUL */
+#define NO_LEADER INSTANCES
 #define GROUP "books"
 #define DATABASE "ledger"
 
@@ -116,25 +126,76 @@
   bool slow;
 };
 
+/* A prepared statement.  */
+struct prepared
+{
+  char *name;
+  char *shape; /* with the kind before it */
+  bool writes;
+  struct prepared *prev;
+  struct prepared *next;
+};
+
+/* A write of an open transaction.  */
+struct pending_write
+{
+  size_t item;
+  char data[DATA_BYTES];
+  struct pending_write *prev;
+  struct pending_write *next;
+};
+
 struct connection
 {
   struct instance *instance;
   struct bufferevent *bev;
-  char state; /* I: idle, T: in a transaction, E: transaction failed */
-  bool plain;
+  uint64_t serial;
+  char host[32];
+  char state;   /* I: idle, T: in a transaction, E: transaction failed */
+  uint64_t tx;  /* serial of the transaction */
+  bool plain;   /* the transaction needs the leader */
+  bool demoted; /* in a plain transaction */
+  struct pending_write *writes;
+  struct values values;
+  struct prepared *prepared;
   char *delayed; /* line that is handled when DELAY has passed, or NULL */
   struct event *delay;
+  struct late_answer *late;
   struct connection *prev;
   struct connection *next;
 };
 
+/* An answer that a connection sends again, or whole after a part of it.  */
+struct late_answer
+{
+  struct connection *connection;
+  struct event *timer;
+  struct evbuffer *text;
+  struct late_answer *prev;
+  struct late_answer *next;
+};
+
+/* A fault of answers.  */
+struct answer_fault
+{
+  unsigned percent;
+  unsigned span_ms;
+  uint64_t count;
+};
+
 static struct event_base *base;
 static struct instance instances[INSTANCES];
 static struct connection *connections;
 static size_t leader;
 static uint64_t term = 1;
-static uint64_t number; /* of writes so far; log position within the term */
-static char values[64][64]; /* of items "0" to "63" */
+static uint64_t number; /* of commits so far; log position within the term */
+static uint64_t next_link;
+static uint64_t next_tx;
+static uint64_t next_run;
+static char rows[ITEMS][DATA_BYTES];
+static struct answer_fault stutter;
+static struct answer_fault cut;
+static struct answer_fault busy;
 static struct store store = { .revision = 1, .next_lease = 100 };
 static struct store copy;
 static uint64_t era = 1; /* of the store */
@@ -587,11 +648,92 @@
 
 /* Instances.  */
 
+static bool
+happens (struct answer_fault *fault)
+{
+  bool happened = (unsigned)rand () % 100 < fault->percent;
+  fault->count += happened;
+  return happened;
+}
+
+static void
+late_answer_free (struct late_answer *late)
+{
+  DL_DELETE (late->connection->late, late);
+  event_free (late->timer);
+  evbuffer_free (late->text);
+  free (late);
+}
+
+static void
+on_late_answer (evutil_socket_t fd, short what, void *arg)
+{
+  struct late_answer *late = arg;
+  (void)fd;
+  (void)what;
+  evbuffer_add_buffer (bufferevent_get_output (late->connection->bev),
+                       late->text);
+  late_answer_free (late);
+}
+
+/* Sends ANSWER SPAN_MS later.  */
 static void
-send_ready (struct connection *connection)
+send_late (struct connection *connection, struct evbuffer *answer,
+           unsigned span_ms)
 {
-  evbuffer_add_printf (bufferevent_get_output (connection->bev),
-                       "READY %c %" PRIu64 ".%" PRIu64 "\r\n",
+  struct late_answer *late = mem_zalloc (sizeof *late);
+  struct timeval span
+      = { .tv_sec = span_ms / 1000, .tv_usec = (long)span_ms % 1000 * 1000 };
+  late->connection = connection;
+  late->timer = evtimer_new (base, on_late_answer, late);
+  late->text = evbuffer_new ();
+  evbuffer_add (late->text, evbuffer_pullup (answer, -1),
+                evbuffer_get_length (answer));
+  DL_APPEND (connection->late, late);
+  evtimer_add (late->timer, &span);
+}
+
+static unsigned
+random_span_ms (const struct answer_fault *fault)
+{
+  return (unsigned)rand () % (fault->span_ms + 1);
+}
+
+/* Returns the length of a part of ANSWER, which ends with a whole line or
+   within one.  */
+static size_t
+part_bytes (struct evbuffer *answer)
+{
+  size_t length = evbuffer_get_length (answer);
+  const char *text = (const char *)evbuffer_pullup (answer, -1);
+  size_t part = 1 + (size_t)rand () % (length - 1);
+  const char *end = memchr (text + part, '\n', length - 1 - part);
+  return end != NULL && rand () % 2 == 0 ? (size_t)(end - text) + 1 : part;
+}
+
+/* Sends ANSWER, and empties it.  */
+static void
+send_answer (struct connection *connection, struct evbuffer *answer)
+{
+  struct evbuffer *out = bufferevent_get_output (connection->bev);
+  if (happens (&cut))
+    {
+      size_t part = part_bytes (answer);
+      bool is_line = evbuffer_pullup (answer, (ssize_t)part)[part - 1] == '\n';
+      send_late (connection, answer,
+                 is_line ? cut.span_ms : random_span_ms (&cut));
+      evbuffer_remove_buffer (answer, out, part);
+      return;
+    }
+  if (happens (&stutter))
+    send_late (connection, answer, random_span_ms (&stutter));
+  evbuffer_add_buffer (out, answer);
+}
+
+static void
+add_ready (const struct connection *connection, struct evbuffer *out)
+{
+  evbuffer_add_printf (out, "READY %c %" PRIu64 ".%" PRIu64 "\r\n",
                        connection->state, term, number);
 }
 
@@ -602,89 +744,459 @@
 }
 
 static void
-send_error (struct connection *connection, const char *code)
+drop_writes (struct connection *connection)
+{
+  struct pending_write *write, *next;
+  DL_FOREACH_SAFE (connection->writes, write, next)
+  {
+    DL_DELETE (connection->writes, write);
+    free (write);
+  }
+}
+
+static void
+end_transaction (struct connection *connection)
+{
+  drop_writes (connection);
+  connection->state = 'I';
+  connection->tx = 0;
+  connection->plain = connection->demoted = false;
+}
+
+static void
+prepared_free (struct connection *connection, struct prepared *prepared)
+{
+  DL_DELETE (connection->prepared, prepared);
+  free (prepared->name);
+  free (prepared->shape);
+  free (prepared);
+}
+
+static void
+reset (struct connection *connection)
+{
+  values_clear (&connection->values);
+  while (connection->prepared != NULL)
+    prepared_free (connection, connection->prepared);
+}
+
+static struct prepared *
+find_prepared (const struct connection *connection, const char *name)
+{
+  struct prepared *prepared;
+  DL_FOREACH (connection->prepared, prepared)
+  if (strcmp (prepared->name, name) == 0)
+    return prepared;
+  return NULL;
+}
+
+/* A statement while it is handled.  */
+struct request
+{
+  const char *id;
+  const char *text;
+  char *word;            /* the first one */
+  char *rest;            /* what follows it; "" if there is nothing */
+  const char *shape;     /* of an EXECUTE */
+  const char *arguments; /* of a read or write */
+  char signature[200];
+  bool commits;
+};
+
+static void
+record_run (const struct connection *connection, const struct request *request,
+            const char *code, const char *text)
+{
+  fleet_record_add (&(struct fleet_run){
+      .instance = connection->instance->id,
+      .host = connection->host,
+      .link = connection->serial,
+      .tx = connection->tx,
+      .id = request->id,
+      .text = request->shape != NULL ? request->arguments : request->text,
+      .shape = request->shape != NULL ? request->shape : "",
+      .values = &connection->values,
+      .code = code,
+      .signature = request->signature,
+      .rows = text,
+      .commits = request->commits });
+}
+
+/* Answers with an error.  */
+static void
+fail (struct connection *connection, struct evbuffer *out, const char *code)
 {
   if (connection->state == 'T')
     connection->state = 'E';
-  evbuffer_add_printf (bufferevent_get_output (connection->bev),
-                       "ERROR %s %s\r\n", code, connection->instance->id);
+  evbuffer_add_printf (out, "ERROR %s %s\r\n", code, connection->instance->id);
 }
 
-/* Sends the row of ITEM, or one of ROW_BYTES bytes if that is not 0.  */
 static void
-send_row (struct evbuffer *out, unsigned item, size_t row_bytes)
+complete (struct evbuffer *out)
 {
+  evbuffer_add_printf (out, "COMPLETE -\r\n");
+}
+
+/* Answers a statement that ran, and records it.  OUT contains its rows.  */
+static void
+sign (struct connection *connection, struct request *request,
+      struct evbuffer *out)
+{
+  size_t length = evbuffer_get_length (out);
+  char *text = mem_zalloc (length + 1);
+  evbuffer_copyout (out, text, length);
+  snprintf (request->signature, sizeof request->signature, "%s.%s.%" PRIu64,
+            connection->instance->id, request->id, ++next_run);
+  record_run (connection, request, "", text);
+  evbuffer_add_printf (out, "COMPLETE %s\r\n", request->signature);
+  free (text);
+}
+
+/* Returns the index of the item that TEXT begins with.  */
+static size_t
+item_index (const char *text)
+{
+  size_t length = strcspn (text, " ");
+  if (strspn (text, "0123456789") == length)
+    return strtoul (text, NULL, 10) % ITEMS;
+  return (size_t)(XXH64 (text, length, 0) % ITEMS);
+}
+
+static const char *
+item_data (const struct connection *connection, size_t item)
+{
+  const struct pending_write *write;
+  const char *data = rows[item];
+  DL_FOREACH (connection->writes, write)
+  if (write->item == item)
+    data = write->data;
+  return data;
+}
+
+static void
+add_rows (const struct connection *connection, const char *arguments,
+          struct evbuffer *out)
+{
+  size_t row_bytes = 0, count = 1;
+  sscanf (arguments, "%*s %zu %zu", &row_bytes, &count);
   if (row_bytes == 0 || row_bytes > ROW_LIMIT_BYTES)
+    evbuffer_add_printf (out, "ROW %s\r\n",
+                         item_data (connection, item_index (arguments)));
+  else
     {
-      evbuffer_add_printf (out, "ROW %s\r\n", values[item % 64]);
+      char *row = mem_zalloc (row_bytes + 1);
+      memset (row, 'x', row_bytes);
+      evbuffer_add_printf (out, "ROW %s\r\n", row);
+      free (row);
+    }
+  for (size_t i = 1; i < count && i < ROWS_LIMIT; i++)
+    evbuffer_add_printf (out, "ROW %" PRIu64 "-%zu\r\n", next_run + 1, i);
+}
+
+static void
+add_write (struct connection *connection, struct request *request)
+{
+  struct pending_write *write = mem_zalloc (sizeof *write);
+  const char *data = strchr (request->arguments, ' ');
+  write->item = item_index (request->arguments);
+  snprintf (write->data, sizeof write->data, "%.*s",
+            data != NULL ? (int)strcspn (data + 1, " ") : 0,
+            data != NULL ? data + 1 : "");
+  DL_APPEND (connection->writes, write);
+}
+
+/* Commits the writes of the connection.  */
+static void
+commit_writes (struct connection *connection, struct request *request)
+{
+  const struct pending_write *write;
+  request->commits = connection->writes != NULL;
+  number += request->commits;
+  DL_FOREACH (connection->writes, write)
+  memcpy (rows[write->item], write->data, DATA_BYTES);
+  drop_writes (connection);
+}
+
+/* Returns the code with which an instance refuses a statement, or NULL.  */
+static const char *
+refusal (const struct connection *connection, bool writes)
+{
+  if (connection->demoted || (writes && !is_leader (connection)))
+    return "READONLY";
+  return happens (&busy) ? "BUSY" : NULL;
+}
+
+/* Runs a read or write.  */
+static void
+run_work (struct connection *connection, struct request *request, bool writes,
+          struct evbuffer *out)
+{
+  const char *code = refusal (connection, writes);
+  if (code != NULL)
+    {
+      fail (connection, out, code);
       return;
     }
-  char *row = mem_zalloc (row_bytes + 1);
-  memset (row, 'x', row_bytes);
-  evbuffer_add_printf (out, "ROW %s\r\n", row);
-  free (row);
+  if (writes)
+    add_write (connection, request);
+  else
+    add_rows (connection, request->arguments, out);
+  if (connection->state == 'I')
+    commit_writes (connection, request);
+  sign (connection, request, out);
 }
 
 static void
-run_statement (struct connection *connection, const char *id, const char *text)
+run_execute (struct connection *connection, struct request *request,
+             struct evbuffer *out)
 {
-  struct evbuffer *out = bufferevent_get_output (connection->bev);
-  unsigned item;
-  char data[64];
-  bool writes = sscanf (text, "WRITE %u %63s", &item, data) == 2;
-  size_t row_bytes = 0;
-  bool reads = sscanf (text, "READ %u %zu", &item, &row_bytes) >= 1;
-  bool needs_leader = writes || strcmp (text, "BEGIN") == 0;
-  if (needs_leader && !is_leader (connection))
-    send_error (connection, "READONLY");
+  char *arguments = strchr (request->rest, ' ');
+  if (arguments != NULL)
+    *arguments++ = '\0';
+  const struct prepared *prepared = find_prepared (connection, request->rest);
+  if (arguments == NULL)
+    fail (connection, out, "MALFORMED");
+  else if (prepared == NULL)
+    {
+      record_run (connection, request, "NOSTMT", "");
+      fail (connection, out, "NOSTMT");
+    }
+  else
+    {
+      request->shape = prepared->shape;
+      request->arguments = arguments;
+      run_work (connection, request, prepared->writes, out);
+    }
+}
+
+static void
+run_prepare (struct connection *connection, const struct request *request,
+             struct evbuffer *out)
+{
+  char *shape = strchr (request->rest, ' ');
+  if (shape != NULL)
+    *shape++ = '\0';
+  bool writes = shape != NULL && strncmp (shape, "WRITE ", 6) == 0;
+  if (shape == NULL || (!writes && strncmp (shape, "READ ", 5) != 0))
+    {
+      fail (connection, out, "MALFORMED");
+      return;
+    }
+  struct prepared *prepared = find_prepared (connection, request->rest);
+  if (prepared != NULL)
+    prepared_free (connection, prepared);
+  prepared = mem_zalloc (sizeof *prepared);
+  *prepared = (struct prepared){ .name = mem_strdup (request->rest),
+                                 .shape = mem_strdup (shape),
+                                 .writes = writes };
+  DL_APPEND (connection->prepared, prepared);
+  complete (out);
+}
+
+static void
+run_set (struct connection *connection, const struct request *request,
+         struct evbuffer *out)
+{
+  char *text = strchr (request->rest, ' ');
+  if (text != NULL)
+    *text++ = '\0';
+  if (text == NULL || !values_set (&connection->values, request->rest, text))
+    fail (connection, out, "MALFORMED");
+  else
+    complete (out);
+}
+
+static void
+run_deallocate (struct connection *connection, const struct request *request,
+                struct evbuffer *out)
+{
+  struct prepared *prepared = find_prepared (connection, request->rest);
+  if (prepared == NULL)
+    {
+      fail (connection, out, "NOSTMT");
+      return;
+    }
+  prepared_free (connection, prepared);
+  complete (out);
+}
+
+static void
+run_begin (struct connection *connection, const struct request *request,
+           struct evbuffer *out)
+{
+  bool plain = *request->rest == '\0';
+  if (connection->state != 'I'
+      || (!plain && strcmp (request->rest, "READ") != 0))
+    fail (connection, out, "MALFORMED");
+  else if (plain && !is_leader (connection))
+    fail (connection, out, "READONLY");
+  else
+    {
+      connection->state = 'T';
+      connection->tx = ++next_tx;
+      connection->plain = plain;
+      complete (out);
+    }
+}
+
+static void
+run_commit (struct connection *connection, struct request *request,
+            struct evbuffer *out)
+{
+  const char *code = NULL;
+  if (connection->state == 'E')
+    code = "ABORTED";
+  else if (connection->demoted && connection->writes != NULL)
+    code = "READONLY";
+  else if (happens (&busy))
+    {
+      /* The transaction stays open.  */
+      evbuffer_add_printf (out, "ERROR BUSY %s\r\n", connection->instance->id);
+      return;
+    }
+  if (code == NULL)
+    {
+      commit_writes (connection, request);
+      sign (connection, request, out);
+    }
+  end_transaction (connection);
+  if (code != NULL)
+    fail (connection, out, code);
+}
+
+static void
+add_status (const struct connection *connection, struct evbuffer *out)
+{
+  evbuffer_add_printf (
+      out, "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 1\r\n",
+      is_leader (connection) ? "primary" : "replica", term, term, number);
+  complete (out);
+}
+
+static void
+step_down (const struct connection *connection, const struct request *request)
+{
+  if (!is_leader (connection) || strtoull (request->rest, NULL, 10) <= term)
+    return;
+  leader = NO_LEADER;
+  publish_instances ();
+}
+
+static bool
+is_lagging (uint64_t after_term, uint64_t after_number)
+{
+  return after_term > term || (after_term == term && after_number > number);
+}
+
+/* Runs a statement outside of a failed transaction.  */
+static void
+run_statement (struct connection *connection, struct request *request,
+               struct evbuffer *out)
+{
+  const char *word = request->word;
+  request->arguments = request->rest;
+  if (strcmp (word, "READ") == 0 || strcmp (word, "WRITE") == 0)
+    run_work (connection, request, word[0] == 'W', out);
+  else if (strcmp (word, "EXECUTE") == 0)
+    run_execute (connection, request, out);
+  else if (strcmp (word, "PREPARE") == 0)
+    run_prepare (connection, request, out);
+  else if (strcmp (word, "DEALLOCATE") == 0)
+    run_deallocate (connection, request, out);
+  else if (strcmp (word, "SET") == 0)
+    run_set (connection, request, out);
+  else if (strcmp (word, "BEGIN") == 0)
+    run_begin (connection, request, out);
+  else if (strcmp (word, "RESET") == 0)
+    {
+      reset (connection);
+      complete (out);
+    }
+  else if (strcmp (word, "STEPDOWN") == 0)
+    {
+      step_down (connection, request);
+      add_status (connection, out);
+    }
+  else if (strcmp (word, "STATUS") == 0 || strcmp (word, "PAUSE") == 0
+           || strcmp (word, "RESUME") == 0)
+    add_status (connection, out);
   else
+    fail (connection, out, "MALFORMED");
+}
+
+static void
+answer_statement (struct connection *connection, const char *id,
+                  const char *text)
+{
+  struct evbuffer *out = evbuffer_new ();
+  uint64_t after_term = 0, after_number = 0;
+  int offset = 0;
+  sscanf (text, "AFTER %" SCNu64 ".%" SCNu64 " %n", &after_term, &after_number,
+          &offset);
+  text += offset;
+  char *word = mem_strdup (text);
+  char *rest = strchr (word, ' ');
+  if (rest != NULL)
+    *rest++ = '\0';
+  struct request request
+      = { .id = id,
+          .text = text,
+          .word = word,
+          .rest = rest != NULL ? rest : word + strlen (word) };
+  if (connection->plain && !is_leader (connection))
+    connection->demoted = true;
+  if (strcmp (word, "COMMIT") == 0)
+    run_commit (connection, &request, out);
+  else if (strcmp (word, "ROLLBACK") == 0)
     {
-      if (strncmp (text, "BEGIN", 5) == 0)
-        connection->state = 'T';
-      else if (strcmp (text, "COMMIT") == 0 || strcmp (text, "ROLLBACK") == 0)
-        connection->state = 'I';
-      else if (writes)
-        snprintf (values[item % 64], sizeof values[0], "%s", data);
-      else if (reads)
-        send_row (out, item, row_bytes);
-      else if (strcmp (text, "STATUS") == 0
-               || strncmp (text, "STEPDOWN", 8) == 0)
-        evbuffer_add_printf (
-            out, "ROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 1\r\n",
-            is_leader (connection) && text[2] == 'A' ? "primary" : "replica",
-            term, term, number);
-      if (writes)
-        number++;
-      evbuffer_add_printf (out, "COMPLETE %s.%s\r\n", connection->instance->id,
-                           id);
-    }
-  send_ready (connection);
+      end_transaction (connection);
+      complete (out);
+    }
+  else if (connection->state == 'E')
+    fail (connection, out, "MALFORMED");
+  else if (is_lagging (after_term, after_number))
+    fail (connection, out, "LAGGING");
+  else
+    run_statement (connection, &request, out);
+  add_ready (connection, out);
+  send_answer (connection, out);
+  evbuffer_free (out);
+  free (word);
 }
 
 static void
 connection_close (struct connection *connection)
 {
   DL_DELETE (connections, connection);
+  while (connection->late != NULL)
+    late_answer_free (connection->late);
+  end_transaction (connection);
+  reset (connection);
   event_free (connection->delay);
   bufferevent_free (connection->bev);
   free (connection->delayed);
   free (connection);
 }
 
+static void
+greet (struct connection *connection, const char *line)
+{
+  struct evbuffer *out = evbuffer_new ();
+  sscanf (line, "STARTUP " GROUP " %31s", connection->host);
+  add_ready (connection, out);
+  send_answer (connection, out);
+  evbuffer_free (out);
+}
+
 static void
 handle_line (struct connection *connection, const char *line)
 {
   char id[128];
   int offset = 0;
   if (strncmp (line, "STARTUP " GROUP " ", sizeof GROUP + 8) == 0)
-    send_ready (connection);
+    greet (connection, line);
   else if (sscanf (line, "QUERY %127s %n", id, &offset) == 1 && offset > 0)
-    {
-      const char *text = line + offset;
-      if (strncmp (text, "AFTER ", 6) == 0)
-        text = strchr (text + 6, ' ') + 1;
-      run_statement (connection, id, text);
-    }
+    answer_statement (connection, id, line + offset);
 }
 
 /* Keeps LINE for later if it is a write to a slow instance.  */
@@ -746,6 +1258,7 @@
   (void)length;
   connection->instance = arg;
   connection->state = 'I';
+  connection->serial = ++next_link;
   connection->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
   connection->delay = evtimer_new (base, on_delay, connection);
   DL_APPEND (connections, connection);
@@ -863,6 +1376,25 @@
   return true;
 }
 
+/* Returns the fault of answers that is named KIND, or NULL.  */
+static struct answer_fault *
+find_answer_fault (const char *kind)
+{
+  return strcmp (kind, "stutter") == 0 ? &stutter
+         : strcmp (kind, "cut") == 0   ? &cut
+         : strcmp (kind, "busy") == 0  ? &busy
+                                       : NULL;
+}
+
+static char *
+state_json (void)
+{
+  return mem_printf ("{\"leader\":%zu,\"term\":%" PRIu64 ",\"number\":%" PRIu64
+                     ",\"version\":%u,\"stuttered\":"
+                     "%" PRIu64 ",\"cut\":%" PRIu64 "}",
+                     leader, term, number, version, stutter.count, cut.count);
+}
+
 static int
 on_control (void *arg, const char *path, json_t *body, char **answer)
 {
@@ -871,9 +1403,12 @@
   (void)arg;
   if (strcmp (path, "/state") == 0)
     {
-      *answer = mem_printf ("{\"leader\":%zu,\"term\":%" PRIu64
-                            ",\"number\":%" PRIu64 ",\"version\":%u}",
-                            leader, term, number, version);
+      *answer = state_json ();
+      return HTTP_OK;
+    }
+  if (strncmp (path, "/runs?after=", 12) == 0)
+    {
+      *answer = fleet_record_json (strtoull (path + 12, NULL, 10));
       return HTTP_OK;
     }
   if (json_unpack (body, "{s?I, s:s, s?I, s?I}", "instance", &index, "kind",
@@ -882,8 +1417,15 @@
       || index < 0 || index >= INSTANCES)
     return HTTP_BADREQUEST;
   struct instance *instance = &instances[index];
+  struct answer_fault *fault = find_answer_fault (kind);
   if (inject_store_fault (kind))
     return HTTP_OK;
+  if (fault != NULL)
+    {
+      fault->percent = (unsigned)percent;
+      fault->span_ms = (unsigned)span_ms;
+      return HTTP_OK;
+    }
   if (strcmp (kind, "silence") == 0)
     {
       silence_store (span_ms, percent);
