A part of an answer and another one, read at once, make no answer

Callers got rows or a signature that the instance had not sent (MIXED): "ROW abROW abc", "COMPLETE i-1.q6862COMPLETE -". Cause: what begins anew in the middle of a line was told by the pause before it. A host that is busy or stands still meanwhile reads the part and what follows at once, without a pause.

--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -89,13 +89,10 @@
 UNIT_PLAIN (test_messages_out_of_order_are_malformed)
 {
   static const char *const texts[] = {
-    "ROW a\r\nREADY I 3.4\r\n",
-    "COMPLETE 7.1\r\nROW a\r\n",
-    "COMPLETE 7.1\r\nCOMPLETE 7.2\r\n",
-    "COMPLETE 7.1\r\nERROR BUSY i-1\r\n",
-    "ERROR BUSY i-1\r\nROW a\r\n",
-    "ERROR BUSY i-1\r\nCOMPLETE 7.1\r\n",
-    "HELLO\r\n",
+    "ROW a\r\nREADY I 3.4\r\n",           "COMPLETE 7.1\r\nROW a\r\n",
+    "COMPLETE 7.1\r\nCOMPLETE 7.2\r\n",   "COMPLETE 7.1\r\nERROR BUSY i-1\r\n",
+    "ERROR BUSY i-1\r\nROW a\r\n",        "ERROR BUSY i-1\r\nCOMPLETE 7.1\r\n",
+    "ROW a\r\nCOMPLETE 7.COMPLETE -\r\n", "HELLO\r\n",
   };
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
     {
@@ -138,6 +135,29 @@
     }
 }
 
+/* Guards against MIXED: a host that reads late gets the first part of an
+   answer and the whole of it at once, and both were passed on as one row.  */
+UNIT_PLAIN (test_a_part_and_the_whole_of_an_answer_make_no_answer)
+{
+  static const char *const texts[]
+      = { "ROW ab\r\nROW c\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n",
+          "COMPLETE 7.2\r\nREADY I 3.4\r\n",
+          "ERROR BUSY i-1\r\nREADY I 3.4\r\n", "READY I 3.4\r\n" };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    for (size_t cut = 1; cut < strlen (texts[i]); cut++)
+      {
+        char *both = mem_printf ("%.*s%s", (int)cut, texts[i], texts[i]);
+        if (texts[i][cut - 1] != '\n')
+          {
+            wire_reply_init (&reply);
+            ck_assert_msg (receive_pieces (PIECES (both)) == REPLY_MALFORMED,
+                           "%s", both);
+            wire_reply_free (&reply);
+          }
+        free (both);
+      }
+}
+
 /* A connection to a listener that the test plays the instance on.  */
 
 static struct event_base *base;
