--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -158,6 +158,18 @@
       }
 }
 
+/* Guards against MIXED: after a part that ended with a row, a first row that
+   came in several pieces was taken for the next one.  */
+UNIT_PLAIN (test_a_long_row_that_comes_again_after_a_pause_is_malformed)
+{
+  wire_reply_init (&reply);
+  ck_assert_int_eq (
+      receive_pieces (PIECES ("ROW qhzkwmtr\r\n", "ROW qh", "zkwm",
+                              "tr\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n")),
+      REPLY_MALFORMED);
+  wire_reply_free (&reply);
+}
+
 /* A connection to a listener that the test plays the instance on.  */
 
 static struct event_base *base;
