Soak of sessions on instances that stutter

No check with processes could have seen callers get the answers of others, or instances run what nobody had sent: the soak had one session a host, which read. Change: soak_sessions keeps three long sessions at each host, which read, write, prepare and execute, set values and leave in the middle of transactions, while instances send answers twice or in parts, refuse, crash and return, and hosts are stopped, killed and frozen. What instances ran and callers got must agree (MIXED, UNASKED, PINNED, TWICE, REFUSED, LOST), and all hosts must serve in the end. soak_config shares the processes of hosts with it, its checks unchanged.

--- a/Makefile
+++ b/Makefile
@@ -85,16 +85,29 @@
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ -lcheck -lsubunit -lpthread -lrt $(ALL_LIBS)
 
-$(BUILD)/soak_config: $(call obj,tests/soak/soak_config.c) $(LIB)
+SOAK_MEMBER_SRC := tests/soak/soak_member.c
+SOAK_SESSIONS_SRC := $(addprefix tests/soak/soak_,sessions.c caller.c oracle.c) tests/standin/fleet_record.c
+
+$(BUILD)/soak_config: $(call obj,tests/soak/soak_config.c $(SOAK_MEMBER_SRC)) $(LIB)
+	@echo "  LD $@"
+	@$(CC) -o $@ $^ $(ALL_LIBS)
+
+$(BUILD)/soak_sessions: $(call obj,$(SOAK_SESSIONS_SRC) $(SOAK_MEMBER_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ $(ALL_LIBS)
 
-# Hosts as processes, faults and changes in series; each seed takes a minute.
+# Hosts as processes, and faults in series: changes of the configuration (a
+# minute a seed), and sessions on instances that stutter (half a minute).
 SOAK_SEEDS ?= 1
-.PHONY: soak
-soak: all standins $(BUILD)/soak_config
+.PHONY: soak soak-config soak-sessions
+soak: soak-config soak-sessions
+
+soak-config: all standins $(BUILD)/soak_config
 	@$(BUILD)/soak_config --logs=$(BUILD) $(SOAK_SEEDS)
 
+soak-sessions: all standins $(BUILD)/soak_sessions
+	@$(BUILD)/soak_sessions --logs=$(BUILD) $(SOAK_SEEDS)
+
 $(BENCH_BIN): $(BUILD)/%: $(BUILD)/bench/%.o $(call obj,$(HARNESS_SRC) $(LOAD_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) -o $@ $^ $(ALL_LIBS)
--- a/tests/soak/soak_config.c
+++ b/tests/soak/soak_config.c
@@ -16,13 +16,12 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 
 #include "kernel/mem.h"
 #include "kernel/rng.h"
+#include "tests/soak/soak_member.h"
 #include "tests/standin/standin_host.h"
 
-#define HOSTS_MAX 64
 #define STEP_MS 50
 /* Time within which a change must be in force, for a host that like the store
    has been without disturbance for TOUCH_MS.  */
@@ -30,7 +29,6 @@
 #define TOUCH_MS 4000
 #define ANSWER_MS 2000
 #define FIRST_VERSION 3 /* of the configuration; it adds no route */
-#define SHUTDOWN_LIMIT_S 4
 /* Ranges of the pauses between changes and between faults.  */
 #define CHANGE_MIN_MS 1000
 #define CHANGE_MAX_MS 12000
@@ -43,19 +41,11 @@
 #define QUIET_DEFAULT_S 60
 #define HOSTS_DEFAULT 16
 
-struct member
+/* A host and its caller.  */
+struct place
 {
-  char name[16];
-  char *log_path;
-  unsigned host_port;
-  uint16_t callers;
-  pid_t pid; /* 0: not running */
-  bool frozen;
-  bool leaving;
-  double start_ms;     /* when it is started, if it does not run */
-  double thaw_ms;      /* if it is frozen */
-  double disturbed_ms; /* last time of a disturbance */
-  int session;         /* kept open; -1: none */
+  struct member member;
+  int session; /* kept open; -1: none */
   unsigned refused;
 };
 
@@ -70,7 +60,7 @@
 static struct rng rng;
 static uint64_t seed;
 static struct standin platform;
-static struct member members[HOSTS_MAX];
+static struct place places[MEMBERS_MAX];
 static double begin_ms;
 static unsigned version; /* newest acknowledged one */
 static double acked_ms;  /* of that version */
@@ -103,15 +93,6 @@
                    body);
 }
 
-/* Returns the first of HOSTS_MAX ports for calls between hosts.  They are
-   below those that the system gives out itself, and other ones for a process
-   that runs beside this one.  */
-static unsigned
-first_port (void)
-{
-  return 10000 + (unsigned)getpid () % 300 * HOSTS_MAX;
-}
-
 /* Connects to the callers' port of MEMBER.  Returns -1 if it is closed.  */
 static int
 connect_to (const struct member *member)
@@ -154,116 +135,60 @@
   return false;
 }
 
-/* Reads the port that MEMBER has logged for its callers; 0: none yet.  */
-static uint16_t
-logged_port (const struct member *member, long from)
-{
-  char line[1024];
-  uint16_t port = 0;
-  FILE *log = fopen (member->log_path, "r");
-  if (log == NULL || fseek (log, from, SEEK_SET) != 0)
-    return 0;
-  while (port == 0 && fgets (line, sizeof line, log) != NULL)
-    {
-      const char *at = strstr (line, "interface=callers port=");
-      if (at != NULL)
-        port = (uint16_t)strtoul (at + strlen ("interface=callers port="),
-                                  NULL, 10);
-    }
-  fclose (log);
-  return port;
-}
-
+/* Starts the host of PLACE and waits until it listens.  */
 static void
-start_member (struct member *member)
+start_member (struct place *place)
 {
-  struct stat before = { 0 };
-  char *argv[]
-      = { NULL,
-          "serve",
-          mem_printf ("--host=%s", member->name),
-          "--domain=zone-1",
-          "--caller-endpoint=127.0.0.1:0",
-          "--ready-endpoint=127.0.0.1:0",
-          "--metrics-endpoint=127.0.0.1:0",
-          mem_printf ("--shutdown-limit-s=%d", SHUTDOWN_LIMIT_S),
-          mem_printf ("--store-endpoint=127.0.0.1:%u",
-                      standin_port (&platform, "store=")),
-          mem_printf ("--promote-endpoint=127.0.0.1:%u",
-                      standin_port (&platform, "promote=")),
-          mem_printf ("--host-endpoint=127.0.0.1:%u", member->host_port),
-          "--log-level=info",
-          NULL };
-  int log = open (member->log_path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                  0600);
-  standin_require (log >= 0 && fstat (log, &before) == 0, member->log_path);
-  member->pid
-      = standin_start ("savoryway", argv, (const int[]){ -1, log, -1 });
-  close (log);
-  member->callers = 0;
   double deadline_ms = host_now_ms () + HOST_WAIT_MS;
-  while ((member->callers = logged_port (member, before.st_size)) == 0)
+  member_start (&place->member, &platform);
+  while (!member_find_port (&place->member))
     {
       standin_require (host_now_ms () < deadline_ms, "listener");
       usleep (2000);
     }
-  member->disturbed_ms = host_now_ms ();
-  member->leaving = false;
-  member->session = -1;
-  free (argv[2]);
-  for (size_t i = 7; i <= 10; i++)
-    free (argv[i]);
+  place->member.disturbed_ms = host_now_ms ();
+  place->session = -1;
 }
 
-/* Notes that the process of MEMBER has ended.  */
+/* Notes that the process of PLACE has ended.  */
 static void
-note_end (struct member *member)
+note_end (struct place *place)
 {
-  double now_ms = host_now_ms ();
-  member->pid = 0;
-  member->frozen = false;
-  member->disturbed_ms = now_ms;
-  member->start_ms = now_ms + draw (100, START_MAX_MS);
-  if (member->session >= 0)
-    close (member->session);
-  member->session = -1;
+  member_note_end (&place->member, draw (100, START_MAX_MS));
+  if (place->session >= 0)
+    close (place->session);
+  place->session = -1;
 }
 
 static void
-kill_member (struct member *member)
+kill_member (struct place *place)
 {
-  report ("kill", member);
-  kill (member->pid, SIGKILL);
-  waitpid (member->pid, NULL, 0);
-  note_end (member);
+  report ("kill", &place->member);
+  member_kill (&place->member);
+  note_end (place);
 }
 
 static void
-freeze_member (struct member *member)
+freeze_member (struct place *place)
 {
-  report ("freeze", member);
-  kill (member->pid, SIGSTOP);
-  member->frozen = true;
-  member->thaw_ms = host_now_ms () + draw (300, FREEZE_MAX_MS);
+  report ("freeze", &place->member);
+  member_freeze (&place->member, draw (300, FREEZE_MAX_MS));
 }
 
 static void
-stop_member (struct member *member)
+stop_member (struct place *place)
 {
-  report ("stop", member);
-  kill (member->pid, SIGTERM);
-  member->leaving = true;
-  member->disturbed_ms = host_now_ms ();
+  report ("stop", &place->member);
+  member_stop (&place->member);
 }
 
 /* Applies FN to each running host with a chance of PERCENT.  */
 static void
-disturb (void (*fn) (struct member *), unsigned percent)
+disturb (void (*fn) (struct place *), unsigned percent)
 {
   for (size_t i = 0; i < options.hosts; i++)
-    if (members[i].pid != 0 && !members[i].frozen && !members[i].leaving
-        && rng_below (&rng, 100) < percent)
-      fn (&members[i]);
+    if (member_is_up (&places[i].member) && rng_below (&rng, 100) < percent)
+      fn (&places[i]);
 }
 
 static void
@@ -323,108 +248,104 @@
 }
 
 static void
-fail (struct member *member, const char *what)
+fail (struct place *place, const char *what)
 {
   failures++;
-  if (member->refused++ == 0)
-    report (what, member);
+  if (place->refused++ == 0)
+    report (what, &place->member);
 }
 
 static bool
 in_touch (const struct member *member, double now_ms)
 {
-  return member->pid != 0 && !member->frozen && !member->leaving
-         && now_ms - member->disturbed_ms > TOUCH_MS
+  return member_is_up (member) && now_ms - member->disturbed_ms > TOUCH_MS
          && now_ms - store_end_ms > TOUCH_MS;
 }
 
-/* Asks MEMBER for the newest database.  */
+/* Asks the host of PLACE for the newest database.  */
 static void
-check_change (struct member *member)
+check_change (struct place *place)
 {
   double now_ms = host_now_ms ();
   char line[64];
   bool closed;
-  if (version == FIRST_VERSION || !in_touch (member, now_ms)
+  if (version == FIRST_VERSION || !in_touch (&place->member, now_ms)
       || now_ms - acked_ms <= APPLY_MS)
     return;
   snprintf (line, sizeof line, "STARTUP added-%u u1\r\n", version);
-  int fd = connect_to (member);
+  int fd = connect_to (&place->member);
   checks++;
   if (fd < 0 || !exchange (fd, line, &closed))
-    fail (member, "the newest route is refused");
+    fail (place, "the newest route is refused");
   else
-    member->refused = 0;
+    place->refused = 0;
   if (fd >= 0)
     close (fd);
 }
 
-/* Reads in the session of MEMBER, which is kept open until its process has
+/* Reads in the session of PLACE, which is kept open until its process has
    ended.  */
 static void
-use_session (struct member *member)
+use_session (struct place *place)
 {
   bool closed = false;
-  if (member->pid == 0 || member->frozen)
+  if (place->member.pid == 0 || place->member.frozen)
     return;
-  if (member->session < 0 && !member->leaving)
+  if (place->session < 0 && !place->member.leaving)
     {
-      member->session = connect_to (member);
-      if (member->session >= 0
-          && !exchange (member->session, "STARTUP ledger u1\r\n", &closed))
+      place->session = connect_to (&place->member);
+      if (place->session >= 0
+          && !exchange (place->session, "STARTUP ledger u1\r\n", &closed))
         closed = true;
     }
-  else if (member->session >= 0
-           && !exchange (member->session, "QUERY s READ 1\r\n", &closed)
-           && !closed && in_touch (member, host_now_ms ()))
-    fail (member, "no answer in a session");
-  if (closed && member->session >= 0)
+  else if (place->session >= 0
+           && !exchange (place->session, "QUERY s READ 1\r\n", &closed)
+           && !closed && in_touch (&place->member, host_now_ms ()))
+    fail (place, "no answer in a session");
+  if (closed && place->session >= 0)
     {
-      close (member->session);
-      member->session = -1;
+      close (place->session);
+      place->session = -1;
     }
 }
 
 static void
-tend (struct member *member)
+tend (struct place *place)
 {
   double now_ms = host_now_ms ();
   int status;
-  if (member->pid == 0 && now_ms >= member->start_ms)
-    start_member (member);
-  if (member->frozen)
-    member->disturbed_ms = now_ms;
-  if (member->frozen && now_ms >= member->thaw_ms)
-    {
-      kill (member->pid, SIGCONT);
-      member->frozen = false;
-    }
-  if (member->pid == 0 || waitpid (member->pid, &status, WNOHANG) <= 0)
+  if (place->member.pid == 0 && now_ms >= place->member.start_ms)
+    start_member (place);
+  if (place->member.frozen)
+    place->member.disturbed_ms = now_ms;
+  if (place->member.frozen && now_ms >= place->member.thaw_ms)
+    member_thaw (&place->member);
+  if (place->member.pid == 0
+      || waitpid (place->member.pid, &status, WNOHANG) <= 0)
     return;
-  if (!member->leaving || !WIFEXITED (status) || WEXITSTATUS (status) != 0)
-    fail (member, "the process ended by itself");
-  note_end (member);
+  if (!place->member.leaving || !WIFEXITED (status)
+      || WEXITSTATUS (status) != 0)
+    fail (place, "the process ended by itself");
+  note_end (place);
 }
 
 static void
 start_all (void)
 {
   char *none[] = { NULL, NULL };
+  char *prefix
+      = mem_printf ("%s/soak-%llu", options.logs, (unsigned long long)seed);
   standin_spawn (&platform, "fleet_standin", none);
   version = FIRST_VERSION;
   acked_ms = begin_ms;
   store_end_ms = begin_ms;
   for (size_t i = 0; i < options.hosts; i++)
     {
-      struct member *member = &members[i];
-      *member = (struct member){ .session = -1,
-                                 .host_port = first_port () + (unsigned)i };
-      snprintf (member->name, sizeof member->name, "h%zu", i);
-      member->log_path = mem_printf ("%s/soak-%llu-%s.log", options.logs,
-                                     (unsigned long long)seed, member->name);
-      unlink (member->log_path);
-      start_member (member);
+      places[i] = (struct place){ .session = -1 };
+      member_init (&places[i].member, i, prefix);
+      start_member (&places[i]);
     }
+  free (prefix);
 }
 
 static void
@@ -432,17 +353,9 @@
 {
   for (size_t i = 0; i < options.hosts; i++)
     {
-      if (members[i].pid != 0)
-        {
-          kill (members[i].pid, SIGKILL);
-          waitpid (members[i].pid, NULL, 0);
-          members[i].pid = 0;
-        }
-      if (members[i].session >= 0)
-        close (members[i].session);
-      if (!keep_logs)
-        unlink (members[i].log_path);
-      free (members[i].log_path);
+      if (places[i].session >= 0)
+        close (places[i].session);
+      member_free (&places[i].member, keep_logs);
     }
   standin_stop (&platform);
 }
@@ -475,9 +388,9 @@
         }
       for (size_t i = 0; i < options.hosts; i++)
         {
-          tend (&members[i]);
-          check_change (&members[i]);
-          use_session (&members[i]);
+          tend (&places[i]);
+          check_change (&places[i]);
+          use_session (&places[i]);
         }
       usleep (STEP_MS * 1000);
     }
@@ -491,9 +404,9 @@
 static void
 kill_all (void)
 {
-  for (size_t i = 0; i < HOSTS_MAX; i++)
-    if (members[i].pid > 0)
-      kill (members[i].pid, SIGKILL);
+  for (size_t i = 0; i < MEMBERS_MAX; i++)
+    if (places[i].member.pid > 0)
+      kill (places[i].member.pid, SIGKILL);
 }
 
 static void
@@ -511,8 +424,8 @@
     {
     case 'n':
       options.hosts = strtoul (arg, NULL, 10);
-      if (options.hosts == 0 || options.hosts > HOSTS_MAX)
-        argp_error (state, "--hosts: 1 to %d", HOSTS_MAX);
+      if (options.hosts == 0 || options.hosts > MEMBERS_MAX)
+        argp_error (state, "--hosts: 1 to %d", MEMBERS_MAX);
       return 0;
     case 's':
       options.seconds = (unsigned)strtoul (arg, NULL, 10);
