Log why a relay can't be used

Cause: relay_failed told only the relay's name. Change: relay_failed tells why, how long the call took, how much of the reply had arrived, and both revisions. The port tells the bytes of a reply that did not become whole. A relay logs when it begins to tell its followers that it does not reach the store, and why. Result: test_a_reply_that_stops_is_not_awaited checks the bytes.

--- a/src/port/peer_port.h
+++ b/src/port/peer_port.h
@@ -55,6 +55,9 @@
                     peer_done done, void *arg);
   /* Drops a call without a callback; the peer may still process it.  */
   void (*cancel) (struct peer_port *port, uint64_t id);
+  /* Returns the number of bytes of the reply to a call received so far; its
+     callback may ask too.  NULL if the port does not know it.  */
+  size_t (*received) (struct peer_port *port, uint64_t id);
   void (*reply) (struct peer_port *port, uint64_t call,
                  const peer_message *message);
   void (*set_handler) (struct peer_port *port, peer_handler handler,
--- a/src/port/rpc_client.c
+++ b/src/port/rpc_client.c
@@ -55,6 +55,7 @@
   uint64_t end_bytes;    /* appended_bytes at the end of its record; 0: not
                             appended yet */
   enum peer_status status;
+  size_t reply_bytes;  /* received before LINK was left */
   uint64_t seen_bytes; /* received_bytes of the link, when the timer fired */
   clk_ms overtime_ms;  /* for which a partial reply was awaited */
   struct event *timer; /* timeout, or deferred report of a failure */
@@ -64,11 +65,33 @@
   UT_hash_handle hh_link; /* in the link, by xid */
 };
 
+/* Returns whether the record that LINK is receiving is the reply to CALL, as
+   far as can be told before it is verified.  */
+static bool
+is_receiving (const struct rpc_link *link, const struct rpc_call *call)
+{
+  uint32_t xid;
+  return link->state == LINK_UP
+         && rpc_record_peek (&link->record, &xid, sizeof xid)
+         && ntohl (xid) == call->xid;
+}
+
+static size_t
+reply_bytes (const struct rpc_call *call)
+{
+  const struct rpc_link *link = call->link;
+  if (link == NULL)
+    return call->reply_bytes;
+  return is_receiving (link, call) ? evbuffer_get_length (link->record.bytes)
+                                   : 0;
+}
+
 static void
 call_unlink (struct rpc_call *call)
 {
   if (call->link == NULL)
     return;
+  call->reply_bytes = reply_bytes (call);
   HASH_DELETE (hh_link, call->link->calls, call);
   call->link = NULL;
 }
@@ -90,6 +113,8 @@
 {
   peer_done done = call->done;
   void *arg = call->arg;
+  call->port->finished_call = call->id;
+  call->port->finished_bytes = reply_bytes (call);
   call_free (call);
   done (arg, status, reply);
 }
@@ -104,17 +129,6 @@
   event_active (call->timer, EV_TIMEOUT, 0);
 }
 
-/* Returns whether the record that LINK is receiving is the reply to CALL, as
-   far as can be told before it is verified.  */
-static bool
-is_receiving (const struct rpc_link *link, const struct rpc_call *call)
-{
-  uint32_t xid;
-  return link->state == LINK_UP
-         && rpc_record_peek (&link->record, &xid, sizeof xid)
-         && ntohl (xid) == call->xid;
-}
-
 /* Starts the timer of CALL again if a part of its reply has arrived since it
    fired last.  */
 static bool
@@ -454,6 +468,16 @@
     call_free (call);
 }
 
+size_t
+rpc_client_received (const struct rpc_port *port, uint64_t id)
+{
+  const struct rpc_call *call;
+  if (id == port->finished_call)
+    return port->finished_bytes;
+  HASH_FIND (hh, port->calls, &id, sizeof id, call);
+  return call != NULL ? reply_bytes (call) : 0;
+}
+
 void
 rpc_client_close (struct rpc_port *port)
 {
--- a/src/port/rpc_internal.h
+++ b/src/port/rpc_internal.h
@@ -32,6 +32,8 @@
   struct rpc_link *links; /* by peer */
   struct rpc_call *calls; /* outgoing, by id */
   uint64_t next_call;
+  uint64_t finished_call; /* the last one to end */
+  size_t finished_bytes;  /* received of its reply */
   struct evconnlistener *listener;
   uint16_t bound;
   struct event *resume_accept;
@@ -58,6 +60,7 @@
                           const peer_message *message, clk_ms timeout_ms,
                           peer_done done, void *arg);
 void rpc_client_cancel (struct rpc_port *port, uint64_t id);
+size_t rpc_client_received (const struct rpc_port *port, uint64_t id);
 void rpc_client_close (struct rpc_port *port);
 
 /* Incoming calls.  rpc_server_open starts to listen; it returns false with
--- a/src/port/rpc_port.c
+++ b/src/port/rpc_port.c
@@ -63,6 +63,12 @@
   rpc_client_cancel ((struct rpc_port *)base, id);
 }
 
+static size_t
+op_received (struct peer_port *base, uint64_t id)
+{
+  return rpc_client_received ((struct rpc_port *)base, id);
+}
+
 static void
 op_reply (struct peer_port *base, uint64_t call, const peer_message *message)
 {
@@ -79,6 +85,7 @@
 
 static const struct peer_port_ops rpc_ops = { .call = op_call,
                                               .cancel = op_cancel,
+                                              .received = op_received,
                                               .reply = op_reply,
                                               .set_handler = op_set_handler };
 
--- a/src/proxy/hosts.c
+++ b/src/proxy/hosts.c
@@ -209,6 +209,14 @@
                                  done != NULL ? done : ignore_reply, arg);
 }
 
+size_t
+hosts_received (const struct hosts *hosts, uint64_t id)
+{
+  if (hosts->port == NULL || hosts->port->ops->received == NULL)
+    return 0;
+  return hosts->port->ops->received (hosts->port, id);
+}
+
 void
 hosts_cancel (struct hosts *hosts, uint64_t id)
 {
--- a/src/proxy/hosts.h
+++ b/src/proxy/hosts.h
@@ -83,6 +83,9 @@
 uint64_t hosts_call (struct hosts *hosts, const struct peer_address *to,
                      const peer_body *body, clk_ms timeout_ms, peer_done done,
                      void *arg);
+/* Returns the number of bytes of the reply to a call received so far, as far
+   as is known; DONE may ask too.  */
+size_t hosts_received (const struct hosts *hosts, uint64_t id);
 /* Cancels a call; its DONE is not called.  */
 void hosts_cancel (struct hosts *hosts, uint64_t id);
 
--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -588,6 +588,34 @@
              : NULL;
 }
 
+/* Notes that the call in flight, ID, to a relay failed with STATUS, or with a
+   reply of the contents FOLLOWED, which may be NULL.  */
+static void
+note_relay_failure (struct mirror *mirror, uint64_t id,
+                    enum peer_status status, const peer_followed *followed)
+{
+  static const char *const reasons[] = { [PEER_OK] = "refused",
+                                         [PEER_UNREACHABLE] = "unreachable",
+                                         [PEER_LOST] = "connection lost",
+                                         [PEER_TIMEOUT] = "timeout" };
+  struct relay_failure failure
+      = { .host = mirror->source,
+          .reason = reasons[status],
+          .spent_ms = kernel_now (mirror->base.kernel) - mirror->sent_ms,
+          .received_bytes = hosts_received (mirror->hosts, id),
+          .revision = mirror->revision };
+  if (followed != NULL)
+    {
+      failure.relay_revision = followed->revision;
+      failure.reason = "not all of the contents";
+      if (platform_index_era (followed->revision) < mirror->era)
+        failure.reason = "earlier era";
+      else if (!followed->reached)
+        failure.reason = "store not reached";
+    }
+  relay_failed (mirror->relay, &failure);
+}
+
 /* Returns whether a dated call without contents is to be repeated as an
    undated one: a relay of an earlier version refuses it, and a call that its
    decoder rejects ends as not processed.  Both come soon, unlike the end of a
@@ -642,11 +670,12 @@
       = status == PEER_OK && now_ms - mirror->sent_ms >= MIRROR_START_HOLD_MS;
   bool usable = followed != NULL && followed->all && followed->reached
                 && platform_index_era (followed->revision) >= mirror->era;
+  uint64_t id = mirror->call;
   mirror->call = 0;
   if (usable)
     apply_first_contents (mirror, reply, followed);
   else if (!held)
-    relay_failed (mirror->relay, mirror->source);
+    note_relay_failure (mirror, id, status, followed);
   mirror->source[0] = '\0';
   next_call (mirror);
 }
@@ -660,6 +689,7 @@
   bool current = followed != NULL
                  && platform_index_era (followed->revision) >= mirror->era;
   bool reachable = current && followed->reached;
+  uint64_t id = mirror->call;
   mirror->call = 0;
   mirror->applying = true;
   if (current)
@@ -682,7 +712,7 @@
       /* It refuses other calls too, so the kind was not the reason.  */
       if (!mirror->dated)
         mirror->undated[0] = '\0';
-      relay_failed (mirror->relay, mirror->source);
+      note_relay_failure (mirror, id, status, followed);
     }
   mirror->source[0] = '\0';
   end_applying (mirror);
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -52,8 +52,9 @@
   struct mirror *mirror;
   uint32_t capacity;
   bool store_refuses;
-  bool active; /* this host is a relay */
-  bool keeps;  /* it keeps the contents */
+  bool detached; /* the last reply told that the store is not reached */
+  bool active;   /* this host is a relay */
+  bool keeps;    /* it keeps the contents */
   clk_ms started_ms;
   struct ktimer decide_timer;
   bool listing;             /* kept from the start of the present listing on */
@@ -208,15 +209,20 @@
 }
 
 void
-relay_failed (struct relay *relay, const char *name)
+relay_failed (struct relay *relay, const struct relay_failure *failure)
 {
   struct kernel *kernel = relay->base.kernel;
   struct failed_relay *failed = &relay->failed[relay->next_failed];
   relay->next_failed = (relay->next_failed + 1) % RELAY_HOSTS;
-  text_copy (failed->host, sizeof failed->host, name);
+  text_copy (failed->host, sizeof failed->host, failure->host);
   failed->until_ms = kernel_now (kernel) + RELAY_FAILED_MS;
   log_event (kernel_log (kernel), LOG_INFO, "relay_failed",
-             LOG_S ("host", name));
+             LOG_S ("host", failure->host), LOG_S ("why", failure->reason),
+             LOG_I ("spent_ms", failure->spent_ms),
+             LOG_U ("received_bytes", failure->received_bytes),
+             LOG_U ("revision", platform_index_revision (failure->revision)),
+             LOG_U ("relay_revision",
+                    platform_index_revision (failure->relay_revision)));
 }
 
 static void
@@ -369,11 +375,44 @@
     }
 }
 
+/* Returns why this host does not reach the store; NULL if it does.  */
+static const char *
+detached_reason (const struct relay *relay)
+{
+  if (!mirror_store_reachable (relay->mirror))
+    return "store unreachable";
+  if (!mirror_current (relay->mirror))
+    return "contents not confirmed";
+  return relay->store_refuses ? "store refuses calls" : NULL;
+}
+
 static bool
 reaches_store (const struct relay *relay)
 {
-  return mirror_store_reachable (relay->mirror)
-         && mirror_current (relay->mirror) && !relay->store_refuses;
+  return detached_reason (relay) == NULL;
+}
+
+/* Logs that the followers are told that the store is not reached, or is
+   again.  */
+static void
+note_detached (struct relay *relay)
+{
+  const char *reason = detached_reason (relay);
+  struct mirror_state state = mirror_state (relay->mirror);
+  struct log *log = kernel_log (relay->base.kernel);
+  size_t waiting;
+  const struct follow_call *call;
+  if (relay->detached == (reason != NULL))
+    return;
+  relay->detached = reason != NULL;
+  DL_COUNT (relay->follow_calls, call, waiting);
+  log_event (log, reason != NULL ? LOG_WARNING : LOG_NOTICE,
+             reason != NULL ? "relay_detached" : "relay_attached",
+             LOG_S ("why", reason != NULL ? reason : ""),
+             LOG_U ("revision", state.revision),
+             LOG_I ("heard_ms_ago", state.heard_ms_ago),
+             LOG_S ("heard_from", state.heard_from),
+             LOG_U ("waiting", waiting));
 }
 
 /* Returns the age of the contents at NOW_MS; negative if it is not known.  */
@@ -389,6 +428,7 @@
 static void
 reply_follow (struct relay *relay, const struct follow_call *follow_call)
 {
+  note_detached (relay);
   uint64_t revision = follow_call->revision;
   bool all = revision < relay->purged_revision
              || platform_index_era (revision)
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -73,7 +73,17 @@
    does not reveal.  */
 void relay_store_refuses (struct relay *relay, bool refuses);
 
-/* Notes that the relay NAME did not answer or does not reach the store.  */
-void relay_failed (struct relay *relay, const char *name);
+/* A relay that did not answer or does not reach the store.  */
+struct relay_failure
+{
+  const char *host;
+  const char *reason;
+  clk_ms spent_ms;         /* on the call */
+  size_t received_bytes;   /* of the reply */
+  uint64_t revision;       /* of this host's contents */
+  uint64_t relay_revision; /* 0: not known */
+};
+
+void relay_failed (struct relay *relay, const struct relay_failure *failure);
 
 #endif
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -30,6 +30,8 @@
   bool withhold_reply;
   size_t done;
   enum peer_status status;
+  uint64_t last_call;
+  size_t received_bytes;   /* of the reply to it, as told to its callback */
   uint64_t reply_revision; /* config_revision of the last reply */
 };
 
@@ -67,6 +69,7 @@
   (void)arg;
   pair.done++;
   pair.status = status;
+  pair.received_bytes = pair.a->ops->received (pair.a, pair.last_call);
   if (reply != NULL)
     pair.reply_revision = reply->body.peer_body_u.pull.config_revision;
 }
@@ -114,8 +117,9 @@
 pair_call (uint64_t revision, clk_ms timeout_ms)
 {
   peer_message message = pull_message (revision);
-  return pair.a->ops->call (pair.a, &pair.to_b, &message, timeout_ms, on_done,
-                            NULL);
+  pair.last_call = pair.a->ops->call (pair.a, &pair.to_b, &message, timeout_ms,
+                                      on_done, NULL);
+  return pair.last_call;
 }
 
 /* Runs the event loop until COUNT calls are done.  */
@@ -372,6 +376,7 @@
 {
   reply_slowly (5);
   ck_assert_int_eq (pair.status, PEER_TIMEOUT);
+  ck_assert_uint_gt (pair.received_bytes, 0);
 }
 
 UNIT_TEST (test_an_unknown_version_is_answered_with_the_known_ones)
