--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -62,6 +62,8 @@
   bool listed_twice;      /* in START_HOSTS, or not to be listed again */
   clk_ms follow_until_ms; /* end of START_RELAY */
   bool store_reachable;
+  clk_ms store_heard_ms;
+  size_t heard_bytes; /* of the response to the call in flight, at that time */
   uint32_t failures;
   uint64_t call;
   struct ktimer next_call_timer;
@@ -519,6 +521,7 @@
       return;
     }
   mirror->failures = 0;
+  mirror->store_heard_ms = kernel_now (mirror->base.kernel);
   set_store_reachable (mirror, true);
   if (lists_first (mirror))
     {
@@ -588,6 +591,35 @@
              : NULL;
 }
 
+/* Notes that the call in flight, ID, to a relay failed with STATUS, or with a
+   reply of the contents FOLLOWED, which may be NULL.  */
+static void
+note_relay_failure (struct mirror *mirror, uint64_t id,
+                    enum peer_status status, const peer_followed *followed)
+{
+  static const char *const reasons[] = { [PEER_OK] = "refused",
+                                         [PEER_UNREACHABLE] = "unreachable",
+                                         [PEER_LOST] = "connection lost",
+                                         [PEER_TIMEOUT] = "timeout" };
+  struct relay_failure failure
+      = { .host = mirror->source,
+          .reason = reasons[status],
+          .spent_ms = kernel_now (mirror->base.kernel) - mirror->sent_ms,
+          .received_bytes = hosts_received (mirror->hosts, id),
+          .answered = followed != NULL,
+          .revision = mirror->revision };
+  if (followed != NULL)
+    {
+      failure.relay_revision = followed->revision;
+      failure.reason = "not all of the contents";
+      if (platform_index_era (followed->revision) < mirror->era)
+        failure.reason = "earlier era";
+      else if (!followed->reached)
+        failure.reason = "store not reached";
+    }
+  relay_failed (mirror->relay, &failure);
+}
+
 /* Returns whether a dated call without contents is to be repeated as an
    undated one: a relay of an earlier version refuses it, and a call that its
    decoder rejects ends as not processed.  Both come soon, unlike the end of a
@@ -642,11 +674,12 @@
       = status == PEER_OK && now_ms - mirror->sent_ms >= MIRROR_START_HOLD_MS;
   bool usable = followed != NULL && followed->all && followed->reached
                 && platform_index_era (followed->revision) >= mirror->era;
+  uint64_t id = mirror->call;
   mirror->call = 0;
   if (usable)
     apply_first_contents (mirror, reply, followed);
   else if (!held)
-    relay_failed (mirror->relay, mirror->source);
+    note_relay_failure (mirror, id, status, followed);
   mirror->source[0] = '\0';
   next_call (mirror);
 }
@@ -660,6 +693,7 @@
   bool current = followed != NULL
                  && platform_index_era (followed->revision) >= mirror->era;
   bool reachable = current && followed->reached;
+  uint64_t id = mirror->call;
   mirror->call = 0;
   mirror->applying = true;
   if (current)
@@ -682,7 +716,7 @@
       /* It refuses other calls too, so the kind was not the reason.  */
       if (!mirror->dated)
         mirror->undated[0] = '\0';
-      relay_failed (mirror->relay, mirror->source);
+      note_relay_failure (mirror, id, status, followed);
     }
   mirror->source[0] = '\0';
   end_applying (mirror);
@@ -769,13 +803,16 @@
 }
 
 /* Returns how long the next watch may wait: until the contents must be
-   confirmed again.  After a failure a short watch shows early whether the
-   store answers.  */
+   confirmed again, or a relay that failed may be asked again.  After a failure
+   a short watch shows early whether the store answers.  */
 static clk_ms
 watch_wait_ms (const struct mirror *mirror)
 {
   clk_ms now_ms = kernel_now (mirror->base.kernel);
   clk_ms due_ms = confirm_due_ms (mirror);
+  clk_ms retry_ms = relay_retry_ms (mirror->relay);
+  if (!mirror->immediate && retry_ms < due_ms)
+    due_ms = retry_ms;
   return mirror->failures > 0 || mirror->checks || due_ms <= now_ms
              ? 1
              : due_ms - now_ms;
@@ -806,6 +843,7 @@
   mirror->checks = false;
   mirror->wait_ms = call.wait_ms;
   mirror->seen_bytes = 0;
+  mirror->heard_bytes = 0;
   if (!mirror->listing && mirror->failures == 0)
     call.timeout_ms = MIRROR_WATCH_MARGIN_MS;
   mirror->call
@@ -868,8 +906,32 @@
   return true;
 }
 
-void
-mirror_restart_watch (struct mirror *mirror)
+/* Returns the number of bytes of the store's response to the call in flight
+   received so far.  */
+static size_t
+received_bytes (const struct mirror *mirror)
+{
+  const struct platform_port_ops *ops = mirror->port->ops;
+  if (mirror->call == 0 || mirror_follows_relay (mirror)
+      || ops->received == NULL)
+    return 0;
+  return ops->received (mirror->port, mirror->call);
+}
+
+clk_ms
+mirror_store_heard_ms (struct mirror *mirror)
+{
+  size_t bytes = received_bytes (mirror);
+  if (bytes > mirror->heard_bytes)
+    {
+      mirror->heard_bytes = bytes;
+      mirror->store_heard_ms = kernel_now (mirror->base.kernel);
+    }
+  return mirror->store_heard_ms;
+}
+
+static void
+replace_watch (struct mirror *mirror)
 {
   if (!is_watching (mirror))
     return;
@@ -878,13 +940,11 @@
   next_call (mirror);
 }
 
-/* Returns the number of bytes of the response to the watch received so far. */
-static size_t
-received_bytes (const struct mirror *mirror)
+void
+mirror_restart_watch (struct mirror *mirror)
 {
-  const struct platform_port_ops *ops = mirror->port->ops;
-  return ops->received != NULL ? ops->received (mirror->port, mirror->call)
-                               : 0;
+  if (received_bytes (mirror) == 0)
+    replace_watch (mirror);
 }
 
 /* Fires TIMER, the check of an overdue watch, again later if a part of the
@@ -913,7 +973,7 @@
              LOG_U ("revision", platform_index_revision (mirror->revision)),
              LOG_U ("expected", platform_index_revision (mirror->expected)),
              LOG_U ("received_bytes", received_bytes (mirror)));
-  mirror_restart_watch (mirror);
+  replace_watch (mirror);
 }
 
 void
@@ -938,7 +998,7 @@
              LOG_U ("revision", platform_index_revision (mirror->revision)),
              LOG_U ("heard", platform_index_revision (mirror->peer_revision)),
              LOG_U ("received_bytes", received_bytes (mirror)));
-  mirror_restart_watch (mirror);
+  replace_watch (mirror);
 }
 
 void
@@ -994,6 +1054,7 @@
   mirror_age_init (&mirror->age);
   mirror->current_ms = CLK_LONG_AGO;
   mirror->restored_ms = CLK_LONG_AGO;
+  mirror->store_heard_ms = CLK_LONG_AGO;
   mirror->next_call_timer.fire = on_next_call_timer;
   mirror->next_call_timer.arg = mirror;
   mirror->expect_timer
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -52,8 +52,10 @@
   struct mirror *mirror;
   uint32_t capacity;
   bool store_refuses;
-  bool active; /* this host is a relay */
-  bool keeps;  /* it keeps the contents */
+  struct ktimer refused_timer;
+  bool detached; /* the last reply told that the store is not reached */
+  bool active;   /* this host is a relay */
+  bool keeps;    /* it keeps the contents */
   clk_ms started_ms;
   struct ktimer decide_timer;
   bool listing;             /* kept from the start of the present listing on */
@@ -201,6 +203,21 @@
   return NULL;
 }
 
+clk_ms
+relay_retry_ms (const struct relay *relay)
+{
+  clk_ms now_ms = kernel_now (relay->base.kernel), retry_ms = CLK_NEVER;
+  for (size_t s = 0; relay->follows && s < relay->source_count; s++)
+    for (size_t i = 0; i < RELAY_HOSTS; i++)
+      {
+        const struct failed_relay *failed = &relay->failed[i];
+        if (failed->until_ms > now_ms && failed->until_ms < retry_ms
+            && strcmp (failed->host, relay->sources[s]->address.name) == 0)
+          retry_ms = failed->until_ms;
+      }
+  return retry_ms;
+}
+
 bool
 relay_serves (const struct relay *relay)
 {
@@ -208,15 +225,22 @@
 }
 
 void
-relay_failed (struct relay *relay, const char *name)
+relay_failed (struct relay *relay, const struct relay_failure *failure)
 {
   struct kernel *kernel = relay->base.kernel;
   struct failed_relay *failed = &relay->failed[relay->next_failed];
   relay->next_failed = (relay->next_failed + 1) % RELAY_HOSTS;
-  text_copy (failed->host, sizeof failed->host, name);
-  failed->until_ms = kernel_now (kernel) + RELAY_FAILED_MS;
+  text_copy (failed->host, sizeof failed->host, failure->host);
+  failed->until_ms
+      = kernel_now (kernel)
+        + (failure->answered ? RELAY_DETACHED_MS : RELAY_FAILED_MS);
   log_event (kernel_log (kernel), LOG_INFO, "relay_failed",
-             LOG_S ("host", name));
+             LOG_S ("host", failure->host), LOG_S ("why", failure->reason),
+             LOG_I ("spent_ms", failure->spent_ms),
+             LOG_U ("received_bytes", failure->received_bytes),
+             LOG_U ("revision", platform_index_revision (failure->revision)),
+             LOG_U ("relay_revision",
+                    platform_index_revision (failure->relay_revision)));
 }
 
 static void
@@ -369,11 +393,54 @@
     }
 }
 
+/* Returns whether the store refuses the calls of this host, and has not been
+   heard lately either.  What follows another relay depends on that one.  */
+static bool
+is_refused (const struct relay *relay)
+{
+  return relay->store_refuses && !mirror_follows_relay (relay->mirror)
+         && kernel_now (relay->base.kernel)
+                >= mirror_store_heard_ms (relay->mirror) + RELAY_SILENT_MS;
+}
+
+/* Returns why this host does not reach the store; NULL if it does.  */
+static const char *
+detached_reason (const struct relay *relay)
+{
+  if (!mirror_store_reachable (relay->mirror))
+    return "store unreachable";
+  if (!mirror_current (relay->mirror))
+    return "contents not confirmed";
+  return is_refused (relay) ? "store refuses calls" : NULL;
+}
+
 static bool
 reaches_store (const struct relay *relay)
 {
-  return mirror_store_reachable (relay->mirror)
-         && mirror_current (relay->mirror) && !relay->store_refuses;
+  return detached_reason (relay) == NULL;
+}
+
+/* Logs that the followers are told that the store is not reached, or is
+   again.  */
+static void
+note_detached (struct relay *relay)
+{
+  const char *reason = detached_reason (relay);
+  struct mirror_state state = mirror_state (relay->mirror);
+  struct log *log = kernel_log (relay->base.kernel);
+  size_t waiting;
+  const struct follow_call *call;
+  if (relay->detached == (reason != NULL))
+    return;
+  relay->detached = reason != NULL;
+  DL_COUNT (relay->follow_calls, call, waiting);
+  log_event (log, reason != NULL ? LOG_WARNING : LOG_NOTICE,
+             reason != NULL ? "relay_detached" : "relay_attached",
+             LOG_S ("why", reason != NULL ? reason : ""),
+             LOG_U ("revision", state.revision),
+             LOG_I ("heard_ms_ago", state.heard_ms_ago),
+             LOG_S ("heard_from", state.heard_from),
+             LOG_U ("waiting", waiting));
 }
 
 /* Returns the age of the contents at NOW_MS; negative if it is not known.  */
@@ -389,6 +456,7 @@
 static void
 reply_follow (struct relay *relay, const struct follow_call *follow_call)
 {
+  note_detached (relay);
   uint64_t revision = follow_call->revision;
   bool all = revision < relay->purged_revision
              || platform_index_era (revision)
@@ -466,11 +534,34 @@
     end_follow_call (relay->follow_calls);
 }
 
+/* Ends the waiting calls if the store refuses this host, else asks the store
+   again until it accepts calls.  */
+static void
+check_refused (void *arg)
+{
+  struct relay *relay = arg;
+  struct kernel *kernel = relay->base.kernel;
+  clk_ms now_ms = kernel_now (kernel);
+  if (is_refused (relay))
+    {
+      on_reachable_changed (relay, false);
+      return;
+    }
+  if (!relay->store_refuses || !relay->active)
+    return;
+  if (!mirror_check_now (relay->mirror))
+    mirror_restart_watch (relay->mirror);
+  clk_ms due_ms = mirror_store_heard_ms (relay->mirror) + RELAY_SILENT_MS;
+  kernel_timer_set (kernel, &relay->refused_timer,
+                    due_ms > now_ms ? due_ms : now_ms + RELAY_SILENT_MS);
+}
+
 void
 relay_store_refuses (struct relay *relay, bool refuses)
 {
   relay->store_refuses = refuses;
-  on_reachable_changed (relay, !refuses);
+  kernel_timer_cancel (relay->base.kernel, &relay->refused_timer);
+  check_refused (relay);
 }
 
 static void
@@ -585,6 +676,8 @@
   relay->started_ms = kernel_now (module->kernel);
   relay->decide_timer
       = (struct ktimer){ .fire = on_decide_timer, .arg = relay };
+  relay->refused_timer
+      = (struct ktimer){ .fire = check_refused, .arg = relay };
   drop_contents (relay);
   hosts_handle (relay->hosts, PEER_KIND_FOLLOW, on_follow, relay);
   hosts_handle (relay->hosts, PEER_KIND_FOLLOW_DATED, on_follow, relay);
@@ -596,6 +689,7 @@
   struct relay *relay = (struct relay *)module;
   relay->complete = false;
   kernel_timer_cancel (module->kernel, &relay->decide_timer);
+  kernel_timer_cancel (module->kernel, &relay->refused_timer);
   while (relay->follow_calls != NULL)
     end_follow_call (relay->follow_calls);
   clear_items (relay);
