A response of the store that comes twice answers one call

A host could take the item of one key for that of another, a list for the answer to a write, or the other way round (MIXED between host and store). Cause: connections are kept, and evhttp leaves in its input buffer what follows a response. It took that for the response to the next request on the connection. Change: a connection that has unread input when it is to be used again is closed; platform_responses_unmatched_total counts these. evhttp itself closes one that receives input while it is idle. Evidence: test_a_response_that_comes_twice_answers_one_call against the code before: 'got.key == "b/x"' failed: got.key == "a/x".

--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -202,26 +202,52 @@
     evhttp_cancel_request (http);
 }
 
-/* Closes the connections that have no call.  What made another one silent may
-   have happened to them too, and would cost the next calls their timeouts.  */
+static bool
+has_unread_input (const struct consul_conn *conn)
+{
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->http);
+  return evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+}
+
+/* Closes the connections that have no call, or those among them that have
+   unread input only.  */
 static void
-close_idle (struct consul *self)
+close_conns (struct consul *self, bool unread_only)
 {
   size_t kept = 0;
   for (size_t i = 0; i < self->conn_count; i++)
     {
       struct consul_conn *conn = self->conns[i];
-      if (conn->call != NULL)
+      if (conn->call != NULL || (unread_only && !has_unread_input (conn)))
         {
           self->conns[kept++] = conn;
           continue;
         }
+      if (unread_only && self->metrics != NULL)
+        metrics_increment (self->metrics,
+                           "platform_responses_unmatched_total");
       evhttp_connection_free (conn->http);
       free (conn);
     }
   self->conn_count = kept;
 }
 
+/* Closes the connections that have no call.  What made another one silent may
+   have happened to them too, and would cost the next calls their timeouts.  */
+static void
+close_idle (struct consul *self)
+{
+  close_conns (self, false);
+}
+
+/* Closes the connections that have received more than the responses to their
+   calls.  evhttp would take it for the response to the next one.  */
+static void
+close_unmatched (struct consul *self)
+{
+  close_conns (self, true);
+}
+
 /* Starts the timer of CALL again if a part of its response has arrived since
    it fired last.  A large response would otherwise be requested again and
    again over a link that takes longer for it than the timeout.  */
@@ -340,6 +366,7 @@
 static struct consul_conn *
 idle_conn (struct consul *self)
 {
+  close_unmatched (self);
   for (size_t i = 0; i < self->conn_count; i++)
     if (self->conns[i]->call == NULL)
       return self->conns[i];
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -1,5 +1,7 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <signal.h>
 
 #include "../standin/standin_spawn.h"
@@ -615,4 +617,93 @@
     }
 }
 
+/* A service that sends its first response twice.  */
+struct repeating_service
+{
+  struct evconnlistener *listener;
+  struct bufferevent *conns[3];
+  int requests, connections;
+};
+
+/* Answers a GET with an item of the requested key, of 3 characters.  */
+static void
+on_repeating_input (struct bufferevent *bev, void *arg)
+{
+  struct repeating_service *service = arg;
+  struct evbuffer *output = bufferevent_get_output (bev);
+  size_t length;
+  char *line, key[4];
+  while ((line = evbuffer_readln (bufferevent_get_input (bev), &length,
+                                  EVBUFFER_EOL_CRLF))
+         != NULL)
+    {
+      bool is_get = sscanf (line, "GET /v1/kv/%3s", key) == 1;
+      free (line);
+      if (!is_get)
+        continue;
+      char *text
+          = mem_printf ("HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n"
+                        "[{\"Key\":\"%s\",\"ModifyIndex\":7,\"Value\":null}]",
+                        key);
+      if (service->requests++ == 0)
+        evbuffer_add_printf (output, "%s", text);
+      evbuffer_add_printf (output, "%s", text);
+      free (text);
+    }
+}
+
+static void
+on_repeating_accept (struct evconnlistener *listener, evutil_socket_t fd,
+                     struct sockaddr *address, int length, void *arg)
+{
+  struct repeating_service *service = arg;
+  struct bufferevent *bev
+      = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  (void)listener;
+  (void)address;
+  (void)length;
+  ck_assert_int_lt (service->connections, 3);
+  service->conns[service->connections++] = bev;
+  bufferevent_setcb (bev, on_repeating_input, NULL, NULL, service);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+}
+
+static void
+open_repeating_service (struct repeating_service *service)
+{
+  struct sockaddr_in sin
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  *service = (struct repeating_service){ 0 };
+  service->listener = evconnlistener_new_bind (
+      base, on_repeating_accept, service, LEV_OPT_CLOSE_ON_FREE, -1,
+      (struct sockaddr *)&sin, sizeof sin);
+  consul_port_free (port);
+  port = new_port (
+      address_bound_port (evconnlistener_get_fd (service->listener)), 1000);
+}
+
+static void
+close_repeating_service (struct repeating_service *service)
+{
+  for (int i = 0; i < service->connections; i++)
+    bufferevent_free (service->conns[i]);
+  evconnlistener_free (service->listener);
+}
+
+/* Guards against MIXED: a response that came twice was taken for the answer to
+   the next request on its connection.  */
+UNIT_TEST (test_a_response_that_comes_twice_answers_one_call)
+{
+  struct repeating_service service;
+  open_repeating_service (&service);
+  ck_assert_int_eq (read_key (PLATFORM_GET, "a/x"), PLATFORM_OK);
+  ck_assert_str_eq (got.key, "a/x");
+  ck_assert_int_eq (read_key (PLATFORM_GET, "b/x"), PLATFORM_OK);
+  ck_assert_str_eq (got.key, "b/x");
+  ck_assert_int_eq (service.connections, 2);
+  ck_assert_int_eq (
+      *metrics_value (metrics, "platform_responses_unmatched_total"), 1);
+  close_repeating_service (&service);
+}
+
 UNIT_MAIN ("consul", .setup = setup, .teardown = teardown)
