A response of the store with other keys answers no call

A host could take the item of one key for that of another, or the result of a write for that of a later one (MIXED between host and store). Cause: HTTP responses carry no id. One that comes twice, the second time after the next request was sent, is the first response behind that request. Change: the items of a response must have the key, the prefix or the written keys of the call, and a page of a list not the key that it continues after. Otherwise the call counts as not answered, and its connection is closed. Evidence: test_a_late_second_response_is_no_answer_to_another_key against the code before: 'read_key (PLATFORM_GET, "b/x") == PLATFORM_UNAVAILABLE' failed: 0 (the item of a/x). A repeated response without items, or to a call of the same kind and key, still can't be told from the one awaited.

--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -37,6 +37,7 @@
   struct evhttp_connection *http;
   struct consul_call *call; /* NULL while idle */
   bool sent;                /* part of the call has been sent */
+  bool unmatched;           /* it has had a response to another call */
   size_t received_bytes;    /* of the response */
   double received_s;        /* time of its first part */
 };
@@ -47,6 +48,9 @@
   uint64_t id;
   enum platform_call_kind kind;
   struct kv_request request;
+  char **keys; /* that items of the response may have; prefixes in lists */
+  size_t key_count;
+  char *after;     /* as in platform_call */
   bool unsendable; /* the codec rejected the call */
   platform_done done;
   void *arg;
@@ -162,6 +166,10 @@
     call->conn->call = NULL;
   event_free (call->timer);
   kv_request_clear (&call->request);
+  for (size_t i = 0; i < call->key_count; i++)
+    free (call->keys[i]);
+  free (call->keys);
+  free (call->after);
   free (call->purpose);
   free (call);
   if (self->queue_head != NULL)
@@ -202,28 +210,31 @@
     evhttp_cancel_request (http);
 }
 
+/* Returns whether CONN has received more than the responses to its calls.
+   evhttp would take it for the response to the next one.  */
 static bool
-has_unread_input (const struct consul_conn *conn)
+is_unmatched (const struct consul_conn *conn)
 {
   struct bufferevent *bev = evhttp_connection_get_bufferevent (conn->http);
-  return evbuffer_get_length (bufferevent_get_input (bev)) > 0;
+  return conn->unmatched
+         || evbuffer_get_length (bufferevent_get_input (bev)) > 0;
 }
 
-/* Closes the connections that have no call, or those among them that have
-   unread input only.  */
+/* Closes the connections that have no call, or only the unmatched ones among
+   them.  */
 static void
-close_conns (struct consul *self, bool unread_only)
+close_conns (struct consul *self, bool unmatched_only)
 {
   size_t kept = 0;
   for (size_t i = 0; i < self->conn_count; i++)
     {
       struct consul_conn *conn = self->conns[i];
-      if (conn->call != NULL || (unread_only && !has_unread_input (conn)))
+      if (conn->call != NULL || (unmatched_only && !is_unmatched (conn)))
         {
           self->conns[kept++] = conn;
           continue;
         }
-      if (unread_only && self->metrics != NULL)
+      if (unmatched_only && self->metrics != NULL)
         metrics_increment (self->metrics,
                            "platform_responses_unmatched_total");
       evhttp_connection_free (conn->http);
@@ -240,8 +251,6 @@
   close_conns (self, false);
 }
 
-/* Closes the connections that have received more than the responses to their
-   calls.  evhttp would take it for the response to the next one.  */
 static void
 close_unmatched (struct consul *self)
 {
@@ -287,6 +296,37 @@
   finish_status (call, status);
 }
 
+static bool
+has_key (const struct consul_call *call, const char *key)
+{
+  for (size_t i = 0; i < call->key_count; i++)
+    if (strcmp (call->keys[i], key) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_listed (const struct consul_call *call, const char *key)
+{
+  return strncmp (key, call->keys[0], strlen (call->keys[0])) == 0
+         && (call->after == NULL || strcmp (key, call->after) != 0);
+}
+
+/* Returns whether REPLY may be the one to CALL, by the keys of its items.  */
+static bool
+is_reply_to (const struct consul_call *call,
+             const struct platform_reply *reply)
+{
+  bool lists = call->kind == PLATFORM_LIST || call->kind == PLATFORM_WATCH;
+  for (size_t i = 0; i < reply->item_count; i++)
+    {
+      const char *key = reply->items[i].key;
+      if (!(lists ? is_listed (call, key) : has_key (call, key)))
+        return false;
+    }
+  return true;
+}
+
 /* evhttp passes a NULL request if the connection failed during the exchange,
    and one without a response code if no connection could be opened.  */
 static void
@@ -318,7 +358,11 @@
   response.reply.received_bytes = conn->received_bytes;
   response.reply.transfer_ms
       = (clk_ms)((monotonic_s () - conn->received_s) * 1000);
-  finish (call, &response.reply);
+  conn->unmatched = !is_reply_to (call, &response.reply);
+  if (conn->unmatched)
+    finish_status (call, kv_unanswered_status (call->kind));
+  else
+    finish (call, &response.reply);
   kv_response_clear (&response);
 }
 
@@ -450,6 +494,17 @@
     }
 }
 
+static void
+copy_keys (struct consul_call *queued, const struct platform_call *call)
+{
+  bool writes = call->kind == PLATFORM_WRITE;
+  queued->key_count = writes ? call->write_count : call->key != NULL;
+  queued->keys = mem_zalloc ((queued->key_count + 1) * sizeof (char *));
+  for (size_t i = 0; i < queued->key_count; i++)
+    queued->keys[i] = mem_strdup (writes ? call->writes[i].key : call->key);
+  queued->after = mem_strdup (call->after);
+}
+
 static uint64_t
 consul_call (struct platform_port *port, const struct platform_call *call,
              platform_done done, void *arg)
@@ -463,6 +518,7 @@
   queued->arg = arg;
   queued->purpose = mem_strdup (call->purpose ? call->purpose : "other");
   queued->unsendable = !self->codec->build (&queued->request, call);
+  copy_keys (queued, call);
   queued->timer = evtimer_new (self->events, on_timeout, queued);
   HASH_ADD (hh, self->calls, id, sizeof queued->id, queued);
   clk_ms limit_ms
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -617,12 +617,15 @@
     }
 }
 
-/* A service that sends its first response twice.  */
+/* A service that sends its first response twice: at once, or if it is LATE in
+   front of the next one.  */
 struct repeating_service
 {
   struct evconnlistener *listener;
   struct bufferevent *conns[3];
+  bool late;
   int requests, connections;
+  char *first;
 };
 
 /* Answers a GET with an item of the requested key, of 3 characters.  */
@@ -646,7 +649,9 @@
                         "[{\"Key\":\"%s\",\"ModifyIndex\":7,\"Value\":null}]",
                         key);
       if (service->requests++ == 0)
-        evbuffer_add_printf (output, "%s", text);
+        service->first = mem_strdup (text);
+      if (service->requests == (service->late ? 2 : 1))
+        evbuffer_add_printf (output, "%s", service->first);
       evbuffer_add_printf (output, "%s", text);
       free (text);
     }
@@ -669,11 +674,11 @@
 }
 
 static void
-open_repeating_service (struct repeating_service *service)
+open_repeating_service (struct repeating_service *service, bool late)
 {
   struct sockaddr_in sin
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  *service = (struct repeating_service){ 0 };
+  *service = (struct repeating_service){ .late = late };
   service->listener = evconnlistener_new_bind (
       base, on_repeating_accept, service, LEV_OPT_CLOSE_ON_FREE, -1,
       (struct sockaddr *)&sin, sizeof sin);
@@ -687,6 +692,7 @@
 {
   for (int i = 0; i < service->connections; i++)
     bufferevent_free (service->conns[i]);
+  free (service->first);
   evconnlistener_free (service->listener);
 }
 
@@ -695,7 +701,7 @@
 UNIT_TEST (test_a_response_that_comes_twice_answers_one_call)
 {
   struct repeating_service service;
-  open_repeating_service (&service);
+  open_repeating_service (&service, false);
   ck_assert_int_eq (read_key (PLATFORM_GET, "a/x"), PLATFORM_OK);
   ck_assert_str_eq (got.key, "a/x");
   ck_assert_int_eq (read_key (PLATFORM_GET, "b/x"), PLATFORM_OK);
@@ -706,4 +712,17 @@
   close_repeating_service (&service);
 }
 
+/* Guards against MIXED: as above, where it comes when the next request has
+   been sent.  */
+UNIT_TEST (test_a_late_second_response_is_no_answer_to_another_key)
+{
+  struct repeating_service service;
+  open_repeating_service (&service, true);
+  ck_assert_int_eq (read_key (PLATFORM_GET, "a/x"), PLATFORM_OK);
+  ck_assert_int_eq (read_key (PLATFORM_GET, "b/x"), PLATFORM_UNAVAILABLE);
+  ck_assert_int_eq (read_key (PLATFORM_GET, "b/x"), PLATFORM_OK);
+  ck_assert_str_eq (got.key, "b/x");
+  close_repeating_service (&service);
+}
+
 UNIT_MAIN ("consul", .setup = setup, .teardown = teardown)
