Refuse what follows nested comments if it is not allowed

A caller's statement could end the transaction around it, or leave settings to the next user of the connection (UNASKED): "/* /* */ */ COMMIT" passed the check of the first word. Cause: comments nest in PostgreSQL; the check skipped up to the first "*/" and found no word behind it. Change: nested comments are skipped as a whole. Evidence: test_a_statement_behind_nested_comments_is_refused against the code before: 'a.sqlstate == "0A000"' failed: "42601", the stand-in's answer, so the statement had been sent.

--- a/src/port/pg_job.c
+++ b/src/port/pg_job.c
@@ -369,6 +369,25 @@
 /* Statements that are not allowed, since they would begin or end a transaction
    or change the state of the session for its next user.  */
 
+/* Returns the text behind the comment at SQL.  Comments may be nested.  */
+static const char *
+skip_comment (const char *sql)
+{
+  size_t depth = 0;
+  do
+    {
+      bool begins = strncmp (sql, "/*", 2) == 0;
+      bool ends = strncmp (sql, "*/", 2) == 0;
+      if (*sql == '\0')
+        return sql;
+      depth += begins;
+      depth -= ends;
+      sql += begins || ends ? 2 : 1;
+    }
+  while (depth > 0);
+  return sql;
+}
+
 static const char *
 skip_blanks_and_comments (const char *sql)
 {
@@ -378,12 +397,7 @@
       if (strncmp (sql, "--", 2) == 0)
         sql += strcspn (sql, "\r\n");
       else if (strncmp (sql, "/*", 2) == 0)
-        {
-          const char *end = strstr (sql + 2, "*/");
-          if (end == NULL)
-            return "";
-          sql = end + 2;
-        }
+        sql = skip_comment (sql);
       else
         return sql;
     }
--- a/tests/unit/test_pg_port.c
+++ b/tests/unit/test_pg_port.c
@@ -140,6 +140,22 @@
   ck_assert_int_eq (run (&a, put ("x", "r1", 1)), DB_OK);
 }
 
+/* Guards against UNASKED: comments nest in PostgreSQL, so what followed the
+   first end of a nested comment hid a COMMIT or SET.  */
+UNIT_TEST (test_a_statement_behind_nested_comments_is_refused)
+{
+  static const char *const texts[]
+      = { "/* /* */ */ COMMIT", "/*/**/-- */\nSET search_path = x",
+          "/***//**/ ROLLBACK", "/*/ */ BEGIN" };
+  struct db_job job = get ("x", 0);
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      job.statement = texts[i];
+      ck_assert_int_eq (run (&a, job), DB_SQL_ERROR);
+      ck_assert_str_eq (a.sqlstate, "0A000");
+    }
+}
+
 UNIT_TEST (test_result_over_the_limit_is_an_error_without_effect)
 {
   struct db_job job = get ("1000", 0);
