Close PostgreSQL connections with an answer to no query

A statement could get an answer that had come before it was sent (MIXED): a connection that receives an answer twice, or unasked, stayed in the pool, and what had arrived in part, or together with the answer before it, was read as the answer to the next query. Cause: the port told libpq to drop messages that answer no query, and did not look whether there were any. Change: libpq's notices about such messages close the connection; a job that runs then is lost, or refused if its COMMIT was not sent. What follows an answer is parsed before the next query is sent.

--- a/src/port/pg_conn.c
+++ b/src/port/pg_conn.c
@@ -39,11 +39,18 @@
   return (struct db_conn *)conn;
 }
 
+/* libpq reports errors of the server that answer no query as notices, and has
+   notices of its own, without an SQLSTATE, for other such messages.  A FATAL
+   error needs nothing, since the server closes the connection.  */
 static void
-ignore_notice (void *arg, const char *message)
+on_notice (void *arg, const PGresult *notice)
 {
-  (void)arg;
-  (void)message;
+  struct pg_conn *conn = arg;
+  const char *severity
+      = PQresultErrorField (notice, PG_DIAG_SEVERITY_NONLOCALIZED);
+  if (PQresultErrorField (notice, PG_DIAG_SQLSTATE) == NULL
+      || (severity != NULL && strcmp (severity, "ERROR") == 0))
+    conn->unmatched = true;
 }
 
 /* Lifetime of a connection.  Its user may close it from within any event
@@ -314,7 +321,7 @@
   struct timeval timeout = span (port->options.connect_timeout_ms);
   evtimer_add (conn->timer, &timeout);
   if (conn->pg != NULL)
-    PQsetNoticeProcessor (conn->pg, ignore_notice, NULL);
+    PQsetNoticeReceiver (conn->pg, on_notice, conn);
   if (PQstatus (conn->pg) == CONNECTION_BAD
       || !add_socket_event (conn, on_connect, EV_WRITE))
     event_active (conn->timer, EV_TIMEOUT, 0);
@@ -347,8 +354,13 @@
   bool alive = PQconsumeInput (conn->pg) == 1;
   bool answered
       = conn->running && conn->batch.syncs > 0 && pg_batch_read (conn);
-  if (!conn->running)
-    PQisBusy (conn->pg); /* parses and drops unsolicited messages */
+  if (conn->batch.syncs == 0)
+    PQisBusy (conn->pg); /* parses what answers no query */
+  if (conn->unmatched)
+    {
+      pg_conn_break (conn, "a message answers no query");
+      return;
+    }
   if (answered)
     {
       conn->batch.next (conn);
--- a/src/port/pg_conn.h
+++ b/src/port/pg_conn.h
@@ -112,6 +112,7 @@
   bool open;
   bool dead;         /* closed; freed when the last handler returns */
   bool broken;       /* failed; jobs submitted now get DB_LOST */
+  bool unmatched;    /* it has had a message that answers no query */
   uint32_t entered;  /* event handlers running on this connection */
   uint32_t prepared; /* bit set of the queries that the server has prepared */
   struct pg_batch batch;
