Answers on PostgreSQL connections must keep the order of their batch

A read could be answered with no rows before its own answer came, or not be answered at all, and an early end let the COMMIT of a write be sent before its statement had been answered (MIXED). Cause: libpq matches results to queries by their number, and does not check where a ReadyForQuery belongs. Once an answer or a ReadyForQuery came twice, each result was taken for that of the next query, and groups ended early. Change: the port notes behind which message of a batch each Sync was sent. A ReadyForQuery elsewhere, or a result where one is due, closes the connection. Evidence, against the code before: test_an_early_end_of_a_group_is_no_answer: 'run (&a, get ("x", 0)) == DB_LOST' failed: 0 (DB_OK); test_an_answer_that_comes_twice_in_a_batch_is_no_other_answer timed out, as the read was never answered.

--- a/src/port/pg_batch.c
+++ b/src/port/pg_batch.c
@@ -62,8 +62,10 @@
 void
 pg_batch_sync (struct pg_conn *conn)
 {
+  struct pg_batch *batch = &conn->batch;
   PQpipelineSync (conn->pg);
-  conn->batch.syncs++;
+  batch->messages[batch->count - 1].sync = true;
+  batch->syncs++;
 }
 
 /* Single-row mode must be requested before the first result of the
@@ -169,8 +171,17 @@
 {
   struct pg_batch *batch = &conn->batch;
   ExecStatusType status = PQresultStatus (res);
-  if (status == PGRES_PIPELINE_SYNC)
+  struct pg_message *last
+      = batch->current > 0 ? &batch->messages[batch->current - 1] : NULL;
+  bool sync_due = last != NULL && last->sync;
+  if (sync_due != (status == PGRES_PIPELINE_SYNC))
+    {
+      conn->unmatched = true;
+      return;
+    }
+  if (sync_due)
     {
+      last->sync = false;
       batch->syncs--;
       return;
     }
@@ -201,7 +212,7 @@
 pg_batch_read (struct pg_conn *conn)
 {
   struct pg_batch *batch = &conn->batch;
-  while (batch->syncs > 0 && !PQisBusy (conn->pg))
+  while (batch->syncs > 0 && !conn->unmatched && !PQisBusy (conn->pg))
     {
       PGresult *res = PQgetResult (conn->pg);
       if (res != NULL)
--- a/src/port/pg_conn.c
+++ b/src/port/pg_conn.c
@@ -358,7 +358,9 @@
     PQisBusy (conn->pg); /* parses what answers no query */
   if (conn->unmatched)
     {
-      pg_conn_break (conn, "a message answers no query");
+      pg_conn_break (conn, PQstatus (conn->pg) == CONNECTION_BAD
+                               ? PQerrorMessage (conn->pg)
+                               : "a message answers no query");
       return;
     }
   if (answered)
--- a/src/port/pg_conn.h
+++ b/src/port/pg_conn.h
@@ -66,6 +66,7 @@
 {
   enum pg_query query;
   bool prepare; /* prepares the query; the next message executes it */
+  bool sync;    /* a Sync that is not answered yet follows */
 };
 
 struct pg_batch
--- a/tests/unit/test_pg_answers.c
+++ b/tests/unit/test_pg_answers.c
@@ -7,14 +7,18 @@
 #include "pg_client.h"
 #include "unit.h"
 
-/* Passes messages on between A and instance "a", and sends recorded ones
-   again.  */
+static const char ready[] = "Z\0\0\0\5I";
+
+/* Passes messages on between A and instance "a", and puts recorded ones
+   between them.  */
 static struct relay
 {
   struct evconnlistener *listener;
   struct bufferevent *client, *server;
   struct evbuffer *recorded;
   bool recording;
+  uint8_t record_to; /* type of the last message to be recorded; 0: all */
+  uint8_t replay_at; /* type of the message that the recorded ones precede */
 } relay;
 
 static struct client a;
@@ -23,17 +27,40 @@
 replay (void)
 {
   bufferevent_write_buffer (relay.client, relay.recorded);
+  relay.replay_at = 0;
+}
+
+static void
+record (uint8_t record_to)
+{
+  evbuffer_drain (relay.recorded, evbuffer_get_length (relay.recorded));
+  relay.recording = true;
+  relay.record_to = record_to;
 }
 
 static void
 on_server_input (struct bufferevent *bev, void *arg)
 {
   struct evbuffer *input = bufferevent_get_input (bev);
-  size_t size = evbuffer_get_length (input);
+  uint8_t head[5];
   (void)arg;
-  if (relay.recording)
-    evbuffer_add (relay.recorded, evbuffer_pullup (input, -1), size);
-  bufferevent_write_buffer (relay.client, input);
+  while (evbuffer_copyout (input, head, sizeof head) == sizeof head)
+    {
+      uint32_t size;
+      memcpy (&size, head + 1, sizeof size);
+      size = ntohl (size) + 1;
+      if (evbuffer_get_length (input) < size)
+        return;
+      const unsigned char *message = evbuffer_pullup (input, size);
+      if (relay.replay_at == head[0])
+        replay ();
+      if (relay.recording)
+        evbuffer_add (relay.recorded, message, size);
+      if (relay.record_to == head[0])
+        relay.recording = false;
+      bufferevent_write (relay.client, message, size);
+      evbuffer_drain (input, size);
+    }
 }
 
 static void
@@ -106,10 +133,31 @@
    asked for went back to use.  */
 UNIT_TEST (test_an_answer_that_comes_unasked_closes_the_connection)
 {
-  relay.recording = true;
+  record (0);
   ck_assert_int_eq (run (&a, get ("x", 0)), DB_OK);
   replay ();
   wait_closed ();
 }
 
+/* Guards against MIXED: each answer was taken for the one to the next query of
+   its batch once one of them had come twice.  */
+UNIT_TEST (test_an_answer_that_comes_twice_in_a_batch_is_no_other_answer)
+{
+  record ('C');
+  ck_assert_int_eq (run (&a, get ("x", 0)), DB_OK);
+  relay.replay_at = '1';
+  ck_assert_int_eq (run (&a, get ("y", 0)), DB_LOST);
+  wait_closed ();
+}
+
+/* Guards against MIXED: a second ReadyForQuery ended the batch while answers
+   were still due.  */
+UNIT_TEST (test_an_early_end_of_a_group_is_no_answer)
+{
+  evbuffer_add (relay.recorded, ready, sizeof ready - 1);
+  relay.replay_at = '1';
+  ck_assert_int_eq (run (&a, get ("x", 0)), DB_LOST);
+  wait_closed ();
+}
+
 UNIT_MAIN ("pg_answers", .setup = open_relay, .teardown = close_relay)
