Tie the answers on PostgreSQL connections to their batch

A caller could get the rows of an earlier read, and a write could be committed with the answer of an earlier one in the ledger, which later look-ups returned (MIXED): the answers of a batch that came twice, after the next batch was sent, were taken for those of that batch. Cause: nothing in the answers tells to which batch they belong. Change: each batch has a number. The status query that ends a job, and the check of the term before a COMMIT is sent, return it. Any other number closes the connection: a read is lost, a write before its COMMIT is refused, after it lost. The SQL was run against the stand-in only.

--- a/src/port/pg_batch.c
+++ b/src/port/pg_batch.c
@@ -10,8 +10,7 @@
 {
   struct pg_batch *batch = &conn->batch;
   free (batch->message);
-  memset (batch, 0, sizeof *batch);
-  batch->next = next;
+  *batch = (struct pg_batch){ .number = batch->number + 1, .next = next };
 }
 
 void
@@ -98,10 +97,22 @@
   return *PQgetvalue (res, 0, column) == 't';
 }
 
+/* Returns whether RES is the row of a query of this batch, which repeats the
+   batch's number in COLUMN.  */
+static bool
+is_of_batch (struct pg_conn *conn, const PGresult *res, int column)
+{
+  bool matches = PQntuples (res) == 1 && PQnfields (res) > column
+                 && field_number (res, column) == conn->batch.number;
+  if (!matches)
+    conn->unmatched = true;
+  return matches;
+}
+
 static void
 store_status (struct pg_conn *conn, const PGresult *res)
 {
-  if (PQntuples (res) != 1 || PQnfields (res) < 8)
+  if (!is_of_batch (conn, res, 8))
     return;
   conn->report = (struct db_report){
     .term = field_number (res, 0),
@@ -151,6 +162,8 @@
 {
   if (query == PG_STATUS)
     store_status (conn, res);
+  else if (query == PG_REQUIRE_TERM)
+    is_of_batch (conn, res, 1);
   else if (query == PG_STATEMENT)
     pg_result_add (&conn->result, res);
   else if (query == PG_FIND)
--- a/src/port/pg_conn.h
+++ b/src/port/pg_conn.h
@@ -71,6 +71,7 @@
 
 struct pg_batch
 {
+  uint64_t number; /* of the connection; its answers repeat it */
   struct pg_message messages[PG_BATCH_LIMIT];
   size_t count, current;
   size_t syncs; /* not answered yet */
--- a/src/port/pg_job.c
+++ b/src/port/pg_job.c
@@ -55,10 +55,23 @@
                      conn->job.param_count, conn->job.params);
 }
 
+/* The answer shows that it is the one to this batch before a COMMIT is
+   sent.  */
+static void
+add_require_term (struct pg_conn *conn)
+{
+  char term[NUMBER_BYTES], number[NUMBER_BYTES];
+  const char *params[2] = { term, number };
+  snprintf (term, sizeof term, "%llu", (unsigned long long)conn->job.term);
+  snprintf (number, sizeof number, "%llu",
+            (unsigned long long)conn->batch.number);
+  pg_batch_add (conn, PG_REQUIRE_TERM, PG_SQL_REQUIRE_TERM, 2, params);
+}
+
 void
 pg_batch_status (struct pg_conn *conn)
 {
-  add (conn, PG_STATUS, PG_SQL_STATUS);
+  add_number (conn, PG_STATUS, PG_SQL_STATUS, conn->batch.number);
   pg_batch_sync (conn);
 }
 
@@ -243,7 +256,7 @@
   bool empty = is_ledger_only (conn);
   pg_batch_start (conn, after_write);
   add (conn, PG_BEGIN, PG_SQL_BEGIN);
-  add_number (conn, PG_REQUIRE_TERM, PG_SQL_REQUIRE_TERM, conn->job.term);
+  add_require_term (conn);
   if (conn->job.request_id != NULL)
     add_answer (conn, PG_CLAIM, PG_SQL_CLAIM, empty ? "" : NULL);
   if (empty)
@@ -271,7 +284,7 @@
   pg_batch_start (conn, after_begin);
   add (conn, PG_BEGIN, PG_SQL_BEGIN);
   if (conn->job.term != 0)
-    add_number (conn, PG_REQUIRE_TERM, PG_SQL_REQUIRE_TERM, conn->job.term);
+    add_require_term (conn);
   pg_batch_status (conn);
   pg_batch_send (conn);
 }
@@ -305,7 +318,7 @@
 {
   pg_batch_start (conn,
                   conn->job.request_id != NULL ? after_claim : after_commit);
-  add_number (conn, PG_REQUIRE_TERM, PG_SQL_REQUIRE_TERM, conn->job.term);
+  add_require_term (conn);
   if (conn->job.request_id == NULL)
     {
       send_commit (conn);
@@ -347,7 +360,7 @@
 {
   pg_batch_start (conn, after_lookup);
   add (conn, PG_BEGIN, PG_SQL_BEGIN);
-  add_number (conn, PG_REQUIRE_TERM, PG_SQL_REQUIRE_TERM, conn->job.term);
+  add_require_term (conn);
   add_id (conn, PG_PROBE, PG_SQL_PROBE);
   add_id (conn, PG_FIND, PG_SQL_FIND);
   add (conn, PG_ROLLBACK, PG_SQL_ROLLBACK);
--- a/src/port/pg_sql.h
+++ b/src/port/pg_sql.h
@@ -11,8 +11,8 @@
 #define PG_STATE_OTHER_TERM "SVT01" /* the instance has another term */
 #define PG_STATE_BEHIND "SVR01"     /* position not replayed yet */
 
-/* One row: term, primary, sealed_term, receiving, received_lsn,
-   replayed_lsn, confirmed_lsn, lag_ms.  */
+/* $1: number of the batch.  One row: term, primary, sealed_term, receiving,
+   received_lsn, replayed_lsn, confirmed_lsn, lag_ms, number of the batch.  */
 #define PG_SQL_STATUS                                                         \
   "/*savoryway:status*/ SELECT s.term, NOT s.recovery AND"                    \
   " current_setting('default_transaction_read_only') = 'off',"                \
@@ -29,7 +29,7 @@
   " WHEN r.status = 'streaming' AND s.received = s.replayed THEN"             \
   " extract(epoch FROM clock_timestamp() - r.last_msg_receipt_time)"          \
   " ELSE COALESCE(extract(epoch FROM clock_timestamp()"                       \
-  " - pg_last_xact_replay_timestamp()), 1e9) END * 1000)::bigint"             \
+  " - pg_last_xact_replay_timestamp()), 1e9) END * 1000)::bigint, $1::bigint" \
   " FROM (SELECT current_setting('savoryway.log_term')::bigint AS term,"      \
   " pg_is_in_recovery() AS recovery,"                                         \
   " CASE WHEN pg_is_in_recovery() THEN"                                       \
@@ -44,9 +44,10 @@
 #define PG_SQL_ROLLBACK "/*savoryway:rollback*/ ROLLBACK"
 #define PG_SQL_RESET "/*savoryway:reset*/ DISCARD ALL"
 
-/* $1: the required term, 0 for any.  */
+/* $1: the required term, 0 for any; $2: number of the batch.  One row: void,
+   number of the batch.  */
 #define PG_SQL_REQUIRE_TERM                                                   \
-  "/*savoryway:require_term*/ SELECT savoryway.require_term($1)"
+  "/*savoryway:require_term*/ SELECT savoryway.require_term($1), $2::bigint"
 
 /* $1: the position that must be visible.  */
 #define PG_SQL_BEGIN_READ                                                     \
--- a/tests/standin/pg_exec.c
+++ b/tests/standin/pg_exec.c
@@ -7,7 +7,7 @@
 
 #define TYPE_INT8 20
 #define TYPE_TEXT 25
-#define FIELD_LIMIT 8
+#define FIELD_LIMIT 9
 
 /* Locks the row of the statement of S.  Returns false if another session has
    locked it.  */
@@ -146,7 +146,7 @@
 run_status (struct session *s)
 {
   const struct instance *i = s->instance;
-  char *text = mem_printf ("%llu\n%s\n%llu\n%s\n%llu\n%llu\n%llu\n%lld",
+  char *text = mem_printf ("%llu\n%s\n%llu\n%s\n%llu\n%llu\n%llu\n%lld\n%s",
                            (unsigned long long)i->active.log_term,
                            i->primary && !i->active.read_only ? "t" : "f",
                            (unsigned long long)i->active.sealed_term,
@@ -154,7 +154,7 @@
                            (unsigned long long)instance_lsn (i, i->received),
                            (unsigned long long)instance_lsn (i, i->replayed),
                            (unsigned long long)i->confirmed_lsn,
-                           (long long)instance_lag_ms (i));
+                           (long long)instance_lag_ms (i), param_text (s, 0));
   return send_one_row (s, "status", 0, text);
 }
 
@@ -165,7 +165,10 @@
   uint64_t required = (uint64_t)param_number (s, 0);
   bool matches = writable (s) && active->sealed_term <= active->log_term
                  && (required == 0 || required == active->log_term);
-  return matches ? EXEC_DONE : fail_statement (s, "SVT01");
+  if (!matches)
+    return fail_statement (s, "SVT01");
+  return send_one_row (s, "require_term", 0,
+                       mem_printf ("\n%s", param_text (s, 1)));
 }
 
 static enum exec_result
@@ -402,7 +405,7 @@
   { PROXY_TAG "commit", run_commit, RUNS_IF_FAILED, NULL, NULL },
   { PROXY_TAG "rollback", run_rollback, RUNS_IF_FAILED, NULL, NULL },
   { PROXY_TAG "reset", run_reset, 0, NULL, "DISCARD ALL" },
-  { PROXY_TAG "require_term", run_require_term, RETURNS_VOID, NULL, NULL },
+  { PROXY_TAG "require_term", run_require_term, 0, NULL, NULL },
   { PROXY_TAG "run_limit", run_set_timeout, RETURNS_VOID, NULL, NULL },
   { PROXY_TAG "claim", run_claim, WRITES, "ledger", "INSERT 0 1" },
   { PROXY_TAG "answer", run_answer, 0, "ledger", "UPDATE 1" },
--- a/tests/unit/test_pg_answers.c
+++ b/tests/unit/test_pg_answers.c
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <signal.h>
 #include <string.h>
 
 #include "pg_client.h"
@@ -19,15 +20,17 @@
   bool recording;
   uint8_t record_to; /* type of the last message to be recorded; 0: all */
   uint8_t replay_at; /* type of the message that the recorded ones precede */
+  bool replay_first; /* before the next request is passed on */
 } relay;
 
-static struct client a;
+static struct client a, b;
 
 static void
 replay (void)
 {
   bufferevent_write_buffer (relay.client, relay.recorded);
   relay.replay_at = 0;
+  relay.replay_first = false;
 }
 
 static void
@@ -67,6 +70,8 @@
 on_client_input (struct bufferevent *bev, void *arg)
 {
   (void)arg;
+  if (relay.replay_first)
+    replay ();
   bufferevent_write_buffer (relay.server, bufferevent_get_input (bev));
 }
 
@@ -99,6 +104,7 @@
   struct sockaddr_in sin
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t length = sizeof sin;
+  signal (SIGPIPE, SIG_IGN);
   setup ();
   relay = (struct relay){ .recorded = evbuffer_new () };
   relay.listener
@@ -160,4 +166,43 @@
   wait_closed ();
 }
 
+/* Lets what was recorded arrive long before the next answers.  */
+static void
+repeat_before_next (void)
+{
+  relay.recording = false;
+  relay.replay_first = true;
+  fault ("a", "cost", 50);
+}
+
+/* Guards against MIXED: all answers of a read that came twice were taken for
+   those of the next one.  */
+UNIT_TEST (test_the_answers_of_a_batch_that_come_twice_are_not_the_next_ones)
+{
+  record (0);
+  ck_assert_int_eq (run (&a, get ("x", 0)), DB_OK);
+  repeat_before_next ();
+  ck_assert_int_eq (run (&a, get ("y", 0)), DB_LOST);
+  wait_closed ();
+}
+
+/* Guards against MIXED: a write was committed, and its stored answer was that
+   of the write before it.  */
+UNIT_TEST (test_a_write_with_the_answers_of_another_is_not_committed)
+{
+  struct db_job job = put ("x", "r1", 1);
+  job.statement = PUT " RETURNING v";
+  record ('Z');
+  ck_assert_int_eq (run (&a, job), DB_OK);
+  repeat_before_next ();
+  job.request_id = "r2";
+  ck_assert_int_eq (run (&a, job), DB_REFUSED);
+  wait_closed ();
+  open_instance (&b, "a");
+  ck_assert_int_eq (run (&b, (struct db_job){ .kind = DB_LOOKUP,
+                                              .request_id = "r2",
+                                              .term = 1 }),
+                    DB_NOT_FOUND);
+}
+
 UNIT_MAIN ("pg_answers", .setup = open_relay, .teardown = close_relay)
