--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -320,6 +320,33 @@
   close (fd);
 }
 
+/* Guards against MIXED: a request that is sent before the answer to the one in
+   front of it waits for that answer.  */
+UNIT_TEST (test_pipelined_requests_run_and_are_answered_in_order)
+{
+  static const char *const ids[] = { "r1", "r2" };
+  int fd = client_connect ();
+  for (size_t i = 0; i < 2; i++)
+    {
+      char *headers = mem_printf (AUTH "Savoryway-Request-Id: %s\r\n", ids[i]);
+      client_send (fd, "POST", "/v1/statement", headers,
+                   "{\"service\":\"a/b\",\"statement\":\"x\"}");
+      free (headers);
+    }
+  fixture.defer = true;
+  for (size_t i = 0; i < 2; i++)
+    {
+      ck_assert_int_eq (client_receive (fd), 0);
+      ck_assert_uint_eq (fixture.submitted, i + 1);
+      ck_assert_ptr_nonnull (strstr (fixture.last_request, ids[i]));
+      fixture.answer.request_id = ids[i];
+      complete_request ();
+      ck_assert_int_eq (client_receive (fd), 200);
+      ck_assert_ptr_nonnull (strstr (reply, ids[i]));
+    }
+  close (fd);
+}
+
 UNIT_TEST (test_caller_that_does_not_read_is_disconnected)
 {
   size_t large = 8 << 20;
