--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -379,6 +379,54 @@
   ck_assert_uint_gt (pair.received_bytes, 0);
 }
 
+static uint32_t
+read_xid (int fd)
+{
+  uint8_t data[RECORD_BUFFER_BYTES];
+  uint32_t xid;
+  run_loop ();
+  ck_assert_int_gt (recv (fd, data, sizeof data, 0), 8);
+  memcpy (&xid, data + 4, sizeof xid); /* behind the record mark */
+  return ntohl (xid);
+}
+
+static void
+write_reply (int fd, uint32_t xid, uint64_t revision)
+{
+  struct rpc_body body;
+  peer_message message = pull_message (revision);
+  struct evbuffer *record = evbuffer_new ();
+  ck_assert (rpc_body_encode (&body, &message, RECORD_BUFFER_BYTES));
+  rpc_reply_write (record, secret, xid, 0, &body);
+  ck_assert_int_gt (evbuffer_write (record, fd), 0);
+  free (body.data);
+  evbuffer_free (record);
+}
+
+/* Guards against MIXED: a reply that comes twice, at once or when the next
+   call is in flight, must not be taken for the reply to that call.  */
+UNIT_TEST (test_a_reply_that_comes_twice_answers_one_call)
+{
+  int listener = raw_listen ();
+  pair_call (5, 2000);
+  int fd = raw_accept (listener);
+  uint32_t first = read_xid (fd);
+  write_reply (fd, first, 6);
+  write_reply (fd, first, 6);
+  pair_wait (1);
+  pair_call (7, 2000);
+  uint32_t second = read_xid (fd);
+  write_reply (fd, first, 6);
+  run_loop ();
+  ck_assert_uint_eq (pair.done, 1);
+  write_reply (fd, second, 8);
+  pair_wait (2);
+  ck_assert_uint_eq (pair.reply_revision, 8);
+  ck_assert_int_eq (counter ("rpc_late_replies_total"), 2);
+  close (fd);
+  close (listener);
+}
+
 UNIT_TEST (test_an_unknown_version_is_answered_with_the_known_ones)
 {
   uint8_t data[RECORD_BUFFER_BYTES];
