Keep the whole name of a database in the names of its instances

Statements for one database could run at the instances of another one of the same service (UNASKED), and transactions on it were refused: gateways find an instance by its name alone. Cause: TEAM/SERVICE/DATABASE has up to 191 characters, and 190 of them became part of the instance's name. Two names of 63 characters that differ in the last one gave the same. Change: all 191 fit. Evidence: test_instances_of_databases_with_long_names_differ against the code before: 'first->instances[0].name != second->instances[0].name' failed, both end in ".../nnn/i".

--- a/src/core/view_team.c
+++ b/src/core/view_team.c
@@ -123,7 +123,7 @@
         = &database->instances[database->instance_count++];
     size_t inner = reader_enter (reader, key);
     reader_name (reader, key, name);
-    snprintf (instance->name, sizeof instance->name, "%.190s/%s",
+    snprintf (instance->name, sizeof instance->name, "%.191s/%s",
               database->name, name);
     reader_fields (reader, value, &schema_instance, instance);
     reader_leave (reader, inner);
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -90,6 +90,30 @@
   ck_assert_ptr_null (view_database (view, "dagohoy/depot-ledger/ledger-3"));
 }
 
+/* Guards against UNASKED: the names of instances lacked the last character of
+   a long database name, so that statements ran at another database's.  */
+UNIT_TEST (test_instances_of_databases_with_long_names_differ)
+{
+  char name[NAME_BYTES] = "";
+  memset (name, 'n', sizeof name - 2);
+  char *text = mem_printf (
+      "{'services': {'%sn': {'databases': {'%sa': {'slots': 5,"
+      " 'connections': 70, 'instances': {" INSTANCE (
+          "i", "2") "}}, '%sb': {'slots': 5, 'connections': 70,"
+                    " 'instances': {" INSTANCE ("i", "3") "}}}}}}",
+      name, name, name);
+  char *team = mem_printf ("%sn", name);
+  ck_assert (apply (team, text));
+  struct view_database *first = view_first_database (view);
+  struct view_database *second = first->hh.next;
+  ck_assert_str_ne (first->instances[0].name, second->instances[0].name);
+  ck_assert_int_eq (
+      strncmp (first->instances[0].name, first->name, strlen (first->name)),
+      0);
+  free (text);
+  free (team);
+}
+
 UNIT_TEST (test_undeclared_kind_gets_the_strictest_settings)
 {
   ck_assert (apply ("dagohoy", valid_subtree));
