Reports about a group with a slash in its name count for that group

Reports of hosts that can't reach a primary did not count for their group, so that its primary was not replaced, and counted for another group instead, whose instance of that name could lose the lead (UNASKED). Cause: the key of a report is GROUP/HOST, and the group was read up to the first slash. Change: it is read up to the last one, as names of hosts have none. Evidence: test_a_report_counts_for_a_group_with_a_slash_in_its_name against the code before: 'roster_count_reports (other, "ledger/east", "i-0").hosts_reporting == 1' failed: 0.

--- a/src/proxy/roster_reports.c
+++ b/src/proxy/roster_reports.c
@@ -97,33 +97,28 @@
   send_report (state);
 }
 
+/* Copies the group of the report KEY to GROUP and returns the host; NULL if
+   the key is malformed.  Only the names of groups may contain a slash.  */
+static const char *
+split_report_key (const char *key, char group[NAME_BYTES])
+{
+  const char *start = key + strlen (REPORTS_PREFIX);
+  const char *slash = strrchr (start, '/');
+  if (slash == NULL || (size_t)(slash - start) >= NAME_BYTES)
+    return NULL;
+  snprintf (group, NAME_BYTES, "%.*s", (int)(slash - start), start);
+  return slash + 1;
+}
+
 /* The report may be that of an earlier process of this host.  Once tracked, it
    is removed if it is not wanted.  */
 void
 roster_track_report (struct roster *roster, const char *name)
 {
   char group[NAME_BYTES];
-  const char *start = name + strlen (REPORTS_PREFIX);
-  const char *slash = strchr (start, '/');
-  if (slash == NULL || strcmp (slash + 1, roster->host) != 0
-      || (size_t)(slash - start) >= sizeof group)
-    return;
-  snprintf (group, sizeof group, "%.*s", (int)(slash - start), start);
-  ensure_report (roster, group);
-}
-
-/* Copies the group of the report KEY to NAME.  Returns false if it is too
-   long.  */
-static bool
-report_group_name (const struct roster_key *key, char name[NAME_BYTES])
-{
-  const char *start = key->name + strlen (REPORTS_PREFIX);
-  size_t length = strcspn (start, "/");
-  if (length >= NAME_BYTES)
-    return false;
-  memcpy (name, start, length);
-  name[length] = '\0';
-  return true;
+  const char *host = split_report_key (name, group);
+  if (host != NULL && strcmp (host, roster->host) == 0)
+    ensure_report (roster, group);
 }
 
 static struct report_group *
@@ -138,7 +133,7 @@
 roster_add_report (struct roster *roster, struct roster_key *key)
 {
   char name[NAME_BYTES];
-  if (!report_group_name (key, name))
+  if (split_report_key (key->name, name) == NULL)
     return;
   struct report_group *group = find_report_group (roster, name);
   if (group == NULL)
@@ -154,7 +149,7 @@
 roster_drop_report (struct roster *roster, struct roster_key *key)
 {
   char name[NAME_BYTES];
-  if (!report_group_name (key, name))
+  if (split_report_key (key->name, name) == NULL)
     return;
   struct report_group *group = find_report_group (roster, name);
   DL_DELETE (group->reports, key);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -938,6 +938,20 @@
       roster_count_reports (other, FLEET_GROUP, "i-0").hosts_reporting, 0);
 }
 
+/* Guards against UNASKED: the report counted for the group whose name ends at
+   the first slash, and its instance of that name could lose the lead.  */
+UNIT_TEST (test_a_report_counts_for_a_group_with_a_slash_in_its_name)
+{
+  struct roster *other = fleet_host (fleet, 2)->roster;
+  roster_report (fleet_host (fleet, 1)->roster, FLEET_GROUP "/east", "i-0");
+  fleet_run (fleet, 1000);
+  ck_assert_uint_eq (
+      roster_count_reports (other, FLEET_GROUP "/east", "i-0").hosts_reporting,
+      1);
+  ck_assert_uint_eq (
+      roster_count_reports (other, FLEET_GROUP, "i-0").hosts_reporting, 0);
+}
+
 /* The leases of the killed processes expire after the new processes have
    started.  */
 UNIT_TEST (test_hosts_that_restart_together_stay_listed)
