A write to the store isn't answered by the response to an earlier one

A write that the store had refused could count as done, such as that of a host which takes over a duty (MIXED between host and store): the response to an earlier write on the connection, when it came twice. Cause: nothing but the keys ties the response to a write, and hosts write the same keys again and again. Change: a write that sets a value must get a higher index than the one before it on its connection; otherwise it is lost, and read back as other lost writes. Evidence: test_a_late_second_response_is_no_answer_to_another_write against the code before: 'put ("a/x", "2", 1) == PLATFORM_LOST' failed: 0 (PLATFORM_OK).

--- a/src/port/consul.c
+++ b/src/port/consul.c
@@ -38,6 +38,7 @@
   struct consul_call *call; /* NULL while idle */
   bool sent;                /* part of the call has been sent */
   bool unmatched;           /* it has had a response to another call */
+  uint64_t written_index;   /* of the last write */
   size_t received_bytes;    /* of the response */
   double received_s;        /* time of its first part */
 };
@@ -51,6 +52,7 @@
   char **keys; /* that items of the response may have; prefixes in lists */
   size_t key_count;
   char *after;     /* as in platform_call */
+  bool sets;       /* it writes a value */
   bool unsendable; /* the codec rejected the call */
   platform_done done;
   void *arg;
@@ -327,6 +329,21 @@
   return true;
 }
 
+/* Returns whether REPLY is that to an earlier write, as each one that sets
+   a value gives a higher index.  */
+static bool
+is_earlier_write (const struct consul_call *call,
+                  const struct platform_reply *reply)
+{
+  struct consul_conn *conn = call->conn;
+  if (!call->sets || reply->status != PLATFORM_OK)
+    return false;
+  if (reply->index <= conn->written_index)
+    return true;
+  conn->written_index = reply->index;
+  return false;
+}
+
 /* evhttp passes a NULL request if the connection failed during the exchange,
    and one without a response code if no connection could be opened.  */
 static void
@@ -358,7 +375,8 @@
   response.reply.received_bytes = conn->received_bytes;
   response.reply.transfer_ms
       = (clk_ms)((monotonic_s () - conn->received_s) * 1000);
-  conn->unmatched = !is_reply_to (call, &response.reply);
+  conn->unmatched = !is_reply_to (call, &response.reply)
+                    || is_earlier_write (call, &response.reply);
   if (conn->unmatched)
     finish_status (call, kv_unanswered_status (call->kind));
   else
@@ -501,7 +519,11 @@
   queued->key_count = writes ? call->write_count : call->key != NULL;
   queued->keys = mem_zalloc ((queued->key_count + 1) * sizeof (char *));
   for (size_t i = 0; i < queued->key_count; i++)
-    queued->keys[i] = mem_strdup (writes ? call->writes[i].key : call->key);
+    {
+      queued->keys[i] = mem_strdup (writes ? call->writes[i].key : call->key);
+      queued->sets
+          |= writes && !call->writes[i].erase && !call->writes[i].check;
+    }
   queued->after = mem_strdup (call->after);
 }
 
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -628,33 +628,40 @@
   char *first;
 };
 
-/* Answers a GET with an item of the requested key, of 3 characters.  */
+/* Answers each request with an item of the key that it has, of 3 characters.
+   The indices of the items increase.  */
 static void
 on_repeating_input (struct bufferevent *bev, void *arg)
 {
   struct repeating_service *service = arg;
+  struct evbuffer *input = bufferevent_get_input (bev);
   struct evbuffer *output = bufferevent_get_output (bev);
-  size_t length;
-  char *line, key[4];
-  while ((line = evbuffer_readln (bufferevent_get_input (bev), &length,
-                                  EVBUFFER_EOL_CRLF))
-         != NULL)
+  char *request
+      = mem_copy (evbuffer_pullup (input, -1), evbuffer_get_length (input));
+  const char *key = strstr (request, "/v1/kv/");
+  const char *written = strstr (request, "\"Key\":\"");
+  key = key != NULL ? key + 7 : written != NULL ? written + 7 : NULL;
+  if (key != NULL)
     {
-      bool is_get = sscanf (line, "GET /v1/kv/%3s", key) == 1;
-      free (line);
-      if (!is_get)
-        continue;
-      char *text
-          = mem_printf ("HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n"
-                        "[{\"Key\":\"%s\",\"ModifyIndex\":7,\"Value\":null}]",
-                        key);
-      if (service->requests++ == 0)
+      char *item
+          = mem_printf ("{\"Key\":\"%.3s\",\"ModifyIndex\":%d,\"Value\":null}",
+                        key, ++service->requests);
+      char *body = mem_printf (
+          written != NULL ? "{\"Results\":[{\"KV\":%s}]}" : "[%s]", item);
+      char *text = mem_printf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
+                               "\r\n%s",
+                               strlen (body), body);
+      if (service->requests == 1)
         service->first = mem_strdup (text);
       if (service->requests == (service->late ? 2 : 1))
         evbuffer_add_printf (output, "%s", service->first);
       evbuffer_add_printf (output, "%s", text);
+      evbuffer_drain (input, evbuffer_get_length (input));
+      free (item);
+      free (body);
       free (text);
     }
+  free (request);
 }
 
 static void
@@ -725,4 +732,16 @@
   close_repeating_service (&service);
 }
 
+/* Guards against MIXED: a write that was refused could count as done, such as
+   that of a host which takes over a duty.  */
+UNIT_TEST (test_a_late_second_response_is_no_answer_to_another_write)
+{
+  struct repeating_service service;
+  open_repeating_service (&service, true);
+  ck_assert_int_eq (put ("a/x", "1", 0), PLATFORM_OK);
+  ck_assert_int_eq (put ("a/x", "2", 1), PLATFORM_LOST);
+  ck_assert_int_eq (put ("a/x", "2", 1), PLATFORM_OK);
+  close_repeating_service (&service);
+}
+
 UNIT_MAIN ("consul", .setup = setup, .teardown = teardown)
