Number the prepared statements of a connection

Instances ran statements that nobody had sent (UNASKED), such as "EXECUTE r_q2c READ ojozh ae" for "EXECUTE s5 ae". Cause: a statement was prepared on a connection under a name that was made from the shape of the caller. The blanks of a shape became those between fields, of PREPARE and of EXECUTE. Change: each connection numbers its prepared statements and records kind and shape with the number; the names "s1", "s2"... hold no text of a caller. A number is not used again on the connection, also not after RESET, so an EXECUTE can't meet another shape. In a transaction, where there can be no RESET, a new statement beyond the limit takes the place of the oldest in the record; the instance keeps both. The model of the instances now receives the bytes that the codec prints and parses them itself; the schedules prepare shapes with blanks.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -100,9 +100,13 @@
 /* Timeout of a probe, which takes no slot and thus doesn't wait for one.  */
 #define BACKEND_PROBE_TIMEOUT_MS 250
 
-/* Maximum number of prepared statements on a connection.  */
+/* Number of prepared statements on a connection from which on it is reset
+   before the next one.  A transaction can't be reset, and goes on.  */
 #define BACKEND_PREPARED_LIMIT 64
 
+/* Size of the name of a statement that is prepared on a connection.  */
+#define BACKEND_STATEMENT_NAME_BYTES 24
+
 /* Purpose of a statement; passed on with its answer.  */
 enum conn_step
 {
@@ -247,10 +251,12 @@
 void conn_set_value (struct backend_conn *conn, const struct values *values,
                      const char *name, const char *value);
 
-/* Writes the name under which the statement of KIND and SHAPE is prepared on
-   every connection.  */
-void conn_statement_name (enum stmt_kind kind, const char *shape, char *out,
-                          size_t size);
+/* Writes the name under which conn_set_up has prepared the statement of KIND
+   and SHAPE on CONN.  It contains nothing of the shape, and is not used for
+   another statement as long as CONN is open.  */
+void conn_statement_name (const struct backend_conn *conn, enum stmt_kind kind,
+                          const char *shape,
+                          char out[BACKEND_STATEMENT_NAME_BYTES]);
 
 /* Sends STATEMENT.  The instance runs it only if its log has reached AFTER,
    unless that is NULL.  */
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -2,6 +2,7 @@
 
 #include "proxy/backend_impl.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,9 +23,10 @@
 static void
 forget_statements (struct backend_conn *conn)
 {
-  for (size_t i = 0; i < conn->statement_count; i++)
-    free (conn->statements[i]);
-  conn->statement_count = 0;
+  for (size_t i = 0; i < BACKEND_PREPARED_LIMIT; i++)
+    free (conn->statements[i].shape);
+  memset (conn->statements, 0, sizeof conn->statements);
+  conn->prepared = 0;
 }
 
 /* Frees CONN, whose link is closed.  */
@@ -442,11 +444,43 @@
                                     statement, after);
 }
 
+/* Returns the number of the statement of KIND and SHAPE, or 0 if it is not
+   prepared.  */
+static uint64_t
+statement_number (const struct backend_conn *conn, enum stmt_kind kind,
+                  const char *shape)
+{
+  for (size_t i = 0; i < BACKEND_PREPARED_LIMIT; i++)
+    {
+      const struct conn_statement *statement = &conn->statements[i];
+      if (statement->number != 0 && statement->kind == kind
+          && strcmp (statement->shape, shape) == 0)
+        return statement->number;
+    }
+  return 0;
+}
+
+/* Records a new statement, in place of the oldest one if there are too
+   many.  */
+static void
+add_statement (struct backend_conn *conn, enum stmt_kind kind,
+               const char *shape)
+{
+  struct conn_statement *statement
+      = &conn->statements[conn->prepared++ % BACKEND_PREPARED_LIMIT];
+  free (statement->shape);
+  *statement = (struct conn_statement){ .number = ++conn->last_number,
+                                        .kind = kind,
+                                        .shape = mem_strdup (shape) };
+}
+
 void
-conn_statement_name (enum stmt_kind kind, const char *shape, char *out,
-                     size_t size)
+conn_statement_name (const struct backend_conn *conn, enum stmt_kind kind,
+                     const char *shape, char out[BACKEND_STATEMENT_NAME_BYTES])
 {
-  snprintf (out, size, "%c_%s", kind == STMT_PREPARE_WRITE ? 'w' : 'r', shape);
+  /* The instance knows no s0.  */
+  snprintf (out, BACKEND_STATEMENT_NAME_BYTES, "s%" PRIu64,
+            statement_number (conn, kind, shape));
 }
 
 static void
@@ -461,44 +495,38 @@
   conn->values_hash = values->hash;
 }
 
-static bool
-has_statement (const struct backend_conn *conn, const char *name)
+/* Prepares the statement of KIND and SHAPE, which is new on CONN.  */
+static void
+prepare_statement (struct backend_conn *conn, const struct values *values,
+                   enum stmt_kind kind, const char *shape)
 {
-  for (size_t i = 0; i < conn->statement_count; i++)
-    if (strcmp (conn->statements[i], name) == 0)
-      return true;
-  return false;
+  char name[BACKEND_STATEMENT_NAME_BYTES];
+  if (conn->prepared >= BACKEND_PREPARED_LIMIT && conn->state == TX_IDLE)
+    {
+      send_reset (conn, STEP_SETUP);
+      send_values (conn, values);
+    }
+  add_statement (conn, kind, shape);
+  conn_statement_name (conn, kind, shape, name);
+  conn_send (conn, STEP_SETUP,
+             &(struct statement){ .kind = kind, .name = name, .rest = shape },
+             NULL);
 }
 
 bool
 conn_set_up (struct backend_conn *conn, const struct values *values,
              enum stmt_kind kind, const char *shape)
 {
-  char name[VALUE_NAME_BYTES + 2];
   uint32_t before = conn->pending_count;
-  bool in_transaction = conn->state != TX_IDLE;
   if (conn->values_hash != values->hash && !MUTANT (skip_values))
     {
-      if (conn->values_hash != 0 && !in_transaction)
+      if (conn->values_hash != 0 && conn->state == TX_IDLE)
         send_reset (conn, STEP_SETUP);
       send_values (conn, values);
     }
-  if (shape == NULL)
-    return conn->pending_count > before;
-  conn_statement_name (kind, shape, name, sizeof name);
-  if (has_statement (conn, name))
-    return conn->pending_count > before;
-  if (conn->statement_count == BACKEND_PREPARED_LIMIT && !in_transaction)
-    {
-      send_reset (conn, STEP_SETUP);
-      send_values (conn, values);
-    }
-  conn_send (conn, STEP_SETUP,
-             &(struct statement){ .kind = kind, .name = name, .rest = shape },
-             NULL);
-  if (conn->statement_count < BACKEND_PREPARED_LIMIT)
-    conn->statements[conn->statement_count++] = mem_strdup (name);
-  return true;
+  if (shape != NULL && statement_number (conn, kind, shape) == 0)
+    prepare_statement (conn, values, kind, shape);
+  return conn->pending_count > before;
 }
 
 void
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -43,6 +43,14 @@
   struct pool_workspace *next;
 };
 
+/* A statement that is prepared on a connection under its number.  */
+struct conn_statement
+{
+  uint64_t number;
+  enum stmt_kind kind;
+  char *shape;
+};
+
 struct backend_conn
 {
   struct backend *backend;
@@ -52,8 +60,9 @@
   struct conn_user *user;
   enum tx_state state;
   uint64_t values_hash; /* of the values set on it; UINT64_MAX: unknown */
-  size_t statement_count;
-  char *statements[BACKEND_PREPARED_LIMIT];
+  uint64_t last_number; /* of a statement prepared on it */
+  size_t prepared;      /* since the last RESET */
+  struct conn_statement statements[BACKEND_PREPARED_LIMIT]; /* the last ones */
   struct pending_answer pending[PENDING_LIMIT]; /* ring, oldest first */
   uint32_t pending_head;
   uint32_t pending_count;
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -260,12 +260,12 @@
 {
   struct run_request *run = &caller->run;
   struct backend_conn *conn = caller->conn;
-  char name[VALUE_NAME_BYTES + 2];
+  char name[BACKEND_STATEMENT_NAME_BYTES];
   struct statement statement
       = { .kind = run->kind, .id = run->id, .text = run->text };
   if (run->kind == STMT_EXECUTE)
     {
-      conn_statement_name (run->prepared_kind, run->shape, name, sizeof name);
+      conn_statement_name (conn, run->prepared_kind, run->shape, name);
       statement.name = name;
       statement.rest = run->rest;
       statement.text = NULL;
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -5,9 +5,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/buffer.h>
 #include <utlist.h>
 
 #include "kernel/mem.h"
+#include "platform/wire.h"
 #include "proxy/values.h"
 #include "tests/fleet/fleet.h"
 
@@ -539,12 +541,15 @@
 static void
 do_prepare (struct instance_link *link, const struct queued_statement *sent)
 {
-  if (link->prepared_count == STATEMENTS)
+  struct prepared_name *row
+      = (struct prepared_name *)find_prepared (link, sent->name);
+  if (row == NULL && link->prepared_count == STATEMENTS)
     {
       fail (link, CODE_FAILED);
       return;
     }
-  struct prepared_name *row = &link->prepared[link->prepared_count++];
+  if (row == NULL)
+    row = &link->prepared[link->prepared_count++];
   memcpy (row->name, sent->name, TEXT_BYTES);
   memcpy (row->shape, sent->rest, TEXT_BYTES);
   row->writes = sent->kind == STMT_PREPARE_WRITE;
@@ -777,31 +782,127 @@
   return link;
 }
 
+/* Splits the next field off *REST.  Returns "" if there is none.  */
+static char *
+next_field (char **rest)
+{
+  char *field = *rest;
+  size_t length = strcspn (field, " ");
+  *rest = field + length + (field[length] == ' ');
+  field[length] = '\0';
+  return field;
+}
+
+static bool
+parse_after (struct queued_statement *sent, const char *text)
+{
+  char rest;
+  sent->has_after = true;
+  return sscanf (text, "%" SCNu64 ".%" SCNu64 "%c", &sent->after.term,
+                 &sent->after.lsn, &rest)
+         == 2;
+}
+
 static void
 copy_text (char *out, const char *text)
 {
-  snprintf (out, TEXT_BYTES, "%s", text != NULL ? text : "");
+  snprintf (out, TEXT_BYTES, "%s", text);
+}
+
+/* Parses the fields that follow VERB.  */
+static bool
+parse_fields (struct queued_statement *sent, const char *verb, char *rest)
+{
+  static const struct
+  {
+    const char *verb;
+    const char *rest; /* NULL: any */
+    enum stmt_kind kind;
+  } rows[] = { { "BEGIN", "", STMT_BEGIN },
+               { "BEGIN", "READ", STMT_BEGIN_READ },
+               { "COMMIT", "", STMT_COMMIT },
+               { "ROLLBACK", "", STMT_ROLLBACK },
+               { "RESET", "", STMT_RESET },
+               { "STATUS", "", STMT_STATUS },
+               { "RESUME", "", STMT_RESUME },
+               { "READ", NULL, STMT_READ },
+               { "WRITE", NULL, STMT_WRITE },
+               { "SET", NULL, STMT_SET },
+               { "EXECUTE", NULL, STMT_EXECUTE },
+               { "PREPARE", NULL, STMT_PREPARE_READ },
+               { "STEPDOWN", NULL, STMT_STEPDOWN },
+               { "PAUSE", NULL, STMT_PAUSE } };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    if (strcmp (rows[i].verb, verb) == 0
+        && (rows[i].rest == NULL || strcmp (rows[i].rest, rest) == 0))
+      sent->kind = rows[i].kind;
+  if (sent->kind == STMT_STEPDOWN || sent->kind == STMT_PAUSE)
+    return sscanf (rest, "%" SCNu64, &sent->term) == 1;
+  if (sent->kind == STMT_SET || sent->kind == STMT_EXECUTE
+      || sent->kind == STMT_PREPARE_READ)
+    {
+      copy_text (sent->name, next_field (&rest));
+      if (!wire_is_word (sent->name))
+        return false;
+    }
+  if (sent->kind == STMT_PREPARE_READ)
+    {
+      const char *kind = next_field (&rest);
+      if (strcmp (kind, "WRITE") == 0)
+        sent->kind = STMT_PREPARE_WRITE;
+      else if (strcmp (kind, "READ") != 0)
+        return false;
+    }
+  copy_text (sent->rest, rest);
+  return sent->kind != STMT_UNKNOWN;
+}
+
+/* Parses MESSAGE, which is split into its fields in place.  */
+static bool
+parse_message (struct queued_statement *sent, char *message)
+{
+  char *end = strpbrk (message, "\r\n"), *rest = message;
+  if (end == NULL || strcmp (end, "\r\n") != 0)
+    return false;
+  *end = '\0';
+  const char *query = next_field (&rest), *id = next_field (&rest);
+  snprintf (sent->id, sizeof sent->id, "%s", id);
+  if (strcmp (query, "QUERY") != 0 || !wire_is_word (id))
+    return false;
+  if (strncmp (rest, "AFTER ", 6) == 0)
+    {
+      next_field (&rest);
+      if (!parse_after (sent, next_field (&rest)))
+        return false;
+    }
+  copy_text (sent->text, rest);
+  const char *verb = next_field (&rest);
+  return parse_fields (sent, verb, rest);
 }
 
+/* Receives STATEMENT as the bytes that the wire codec makes of it.  */
 static void
 link_send (struct instance_port *port, struct instance_link *link,
            const struct statement *statement, const struct position *after)
 {
   struct queued_statement *sent
       = &link->queue[(link->head + link->count) % QUEUE];
+  struct evbuffer *out = evbuffer_new ();
   (void)port;
   if (link->count == QUEUE)
     abort ();
-  *sent = (struct queued_statement){ .kind = statement->kind,
-                                     .term = statement->term };
-  snprintf (sent->id, sizeof sent->id, "%s",
-            statement->id != NULL ? statement->id : "-");
-  copy_text (sent->text, statement->text);
-  copy_text (sent->name, statement->name);
-  copy_text (sent->rest, statement->rest);
-  sent->has_after = after != NULL;
-  if (after != NULL)
-    sent->after = *after;
+  bool printed = wire_put_statement (out, statement, after);
+  size_t length = evbuffer_get_length (out);
+  char *message = mem_zalloc (length + 1);
+  evbuffer_remove (out, message, length);
+  evbuffer_free (out);
+  *sent = (struct queued_statement){ .kind = STMT_UNKNOWN };
+  if (!printed || strlen (message) != length || !parse_message (sent, message))
+    fleet_report_violation (link->fleet,
+                            "UNASKED: %s got a message that is "
+                            "malformed: %s",
+                            link->instance->id, message);
+  free (message);
   link->count++;
   run_next (link);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -132,7 +132,7 @@
   else if (draw < 70)
     fleet_caller_send (caller,
                        below (s, 2) ? STMT_PREPARE_READ : STMT_PREPARE_WRITE,
-                       "p", below (s, 2) ? "qa" : "qb");
+                       "p", below (s, 2) ? "qa" : "qa READ k");
   else if (draw < 78)
     fleet_caller_send (caller, STMT_EXECUTE, "p", "x");
   else
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -75,6 +75,54 @@
   ck_assert_int_eq (run (b, STMT_EXECUTE, "unknown", "x"), CODE_NOSTMT);
 }
 
+/* Guards against UNASKED: the blanks of a shape became part of the name under
+   which it was prepared, so that EXECUTE had more fields.  */
+UNIT_TEST (test_shapes_with_blanks_are_executed_as_they_were_prepared)
+{
+  static const char *const shapes[]
+      = { "q2c READ ojozh", "q2c",   "q2c WRITE", " q2c",
+          "q2c ",           "q  2c", "q2c\tREAD" };
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  for (size_t i = 0; i < 2 * sizeof shapes / sizeof shapes[0]; i++)
+    {
+      ck_assert_int_eq (run (caller,
+                             i % 3 ? STMT_PREPARE_READ : STMT_PREPARE_WRITE,
+                             "s5", shapes[i / 2]),
+                        CODE_OK);
+      ck_assert_int_eq (run (caller, STMT_EXECUTE, "s5", "ae"), CODE_OK);
+      ck_assert_int_eq (run (caller, STMT_EXECUTE, "s5", "ae  x "), CODE_OK);
+    }
+}
+
+/* Prepares COUNT shapes, each in place of the one before, and executes
+   them.  */
+static void
+execute_shapes (struct fleet_caller *caller, int from, int count)
+{
+  for (int i = from; i < from + count; i++)
+    {
+      char shape[32];
+      snprintf (shape, sizeof shape, "q %d", i);
+      ck_assert_int_eq (run (caller, STMT_PREPARE_READ, "s", shape), CODE_OK);
+      for (int j = 0; j < 2; j++)
+        ck_assert_int_eq (run (caller, STMT_EXECUTE, "s", "x"), CODE_OK);
+    }
+}
+
+/* Guards against PINNED: on a connection with as many prepared statements as
+   are recorded, a further one must not run as one of them.  */
+UNIT_TEST (test_a_transaction_prepares_beyond_the_limit_of_its_connection)
+{
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  execute_shapes (caller, 0, BACKEND_PREPARED_LIMIT);
+  ck_assert_int_eq (run (caller, STMT_BEGIN, NULL, NULL), CODE_OK);
+  execute_shapes (caller, BACKEND_PREPARED_LIMIT / 2, BACKEND_PREPARED_LIMIT);
+  ck_assert_int_eq (run (caller, STMT_COMMIT, NULL, NULL), CODE_OK);
+  execute_shapes (caller, 0, BACKEND_PREPARED_LIMIT);
+}
+
 /* Guards against a host that ends: each SET was passed on at once, until no
    more answers of the connection could be awaited.  */
 UNIT_TEST (test_values_pipelined_in_a_transaction_are_refused_beyond_a_limit)
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -103,6 +103,34 @@
   ck_assert_int_eq (request.kind, WIRE_MALFORMED);
 }
 
+/* Guards against UNASKED: a name with blanks was printed as several fields of
+   EXECUTE.  */
+UNIT_PLAIN (test_a_statement_with_other_fields_on_the_wire_is_not_printed)
+{
+  static const struct statement unsound[] = {
+    { .kind = STMT_EXECUTE, .name = "r_q2c READ ojozh", .rest = "ae" },
+    { .kind = STMT_EXECUTE, .name = "", .rest = "ae" },
+    { .kind = STMT_EXECUTE, .name = "s1\n", .rest = "ae" },
+    { .kind = STMT_EXECUTE, .name = "s1", .rest = "ae\r\nQUERY f0 COMMIT" },
+    { .kind = STMT_PREPARE_READ, .name = "r_q2c READ", .rest = "q2c READ" },
+    { .kind = STMT_PREPARE_WRITE, .name = "s1", .rest = "q2c\nQUERY" },
+    { .kind = STMT_SET, .name = "a b", .rest = "c" },
+    { .kind = STMT_SET, .name = "a", .rest = "c\rQUERY" },
+    { .kind = STMT_READ, .id = "5c0e WRITE", .text = "READ a" },
+    { .kind = STMT_READ, .id = "", .text = "READ a" },
+    { .kind = STMT_READ, .id = "5c0e", .text = "READ a\nWRITE b" },
+    { .kind = STMT_COMMIT, .id = "5c\r\n0e", .text = "COMMIT" },
+  };
+  struct evbuffer *out = evbuffer_new ();
+  for (size_t i = 0; i < sizeof unsound / sizeof unsound[0]; i++)
+    {
+      wire_put_statement (out, &unsound[i], NULL);
+      ck_assert_msg (evbuffer_get_length (out) == 0, "case %zu: %s", i,
+                     evbuffer_pullup (out, -1));
+    }
+  evbuffer_free (out);
+}
+
 /* Guards against UNASKED: a statement with a zero byte was cut there and
    run.  */
 UNIT_PLAIN (test_a_message_with_a_zero_byte_is_malformed)
