Check forwarded statements like those of callers

A host of another version, or a malformed message, could make an instance run what no caller had sent (UNASKED): a write as a read, which may be repeated and run on a replica, the reserved id, texts with a line end, and what is left of a string with a zero byte in it. Cause: only the kind of a forwarded statement was checked. XDR strings are C strings: what follows a zero byte is dropped when they are decoded. Change: the codec of the platform decides: the text must give kind, name and arguments, the id must be a word other than "-", and values and the prepared statement must be such as SET and PREPARE accept; the workspace must be a word. Others are refused, which promises that nothing ran. A message with a string that was cut is not decoded.

--- a/src/kernel/text.c
+++ b/src/kernel/text.c
@@ -11,3 +11,14 @@
   memcpy (out, text, length + 1);
   return true;
 }
+
+bool
+text_is_word (const char *text)
+{
+  if (text == NULL)
+    return false;
+  for (const char *at = text; *at != '\0'; at++)
+    if ((unsigned char)*at <= ' ' || *at == '\x7f')
+      return false;
+  return *text != '\0';
+}
--- a/src/kernel/text.h
+++ b/src/kernel/text.h
@@ -1,4 +1,4 @@
-/* text - copies of strings in buffers of fixed size.  */
+/* text - copies of strings in buffers of fixed size, and checks of words.  */
 
 #ifndef SAVORYWAY_KERNEL_TEXT_H
 #define SAVORYWAY_KERNEL_TEXT_H
@@ -10,4 +10,8 @@
    OUT unchanged if TEXT is NULL or does not fit.  */
 bool text_copy (char *out, size_t size, const char *text);
 
+/* Returns whether TEXT, which may be NULL, is a word: it is not empty and has
+   no blanks or control characters.  */
+bool text_is_word (const char *text);
+
 #endif
--- a/src/port/rpc_message.c
+++ b/src/port/rpc_message.c
@@ -79,7 +79,9 @@
   XDR xdr;
   memset (message, 0, sizeof *message);
   xdrmem_create (&xdr, (char *)data, (u_int)size_bytes, XDR_DECODE);
-  if (xdr_peer_message (&xdr, message) && xdr_getpos (&xdr) == size_bytes)
+  /* A string with a zero byte is cut there, so the message is shorter.  */
+  if (xdr_peer_message (&xdr, message) && xdr_getpos (&xdr) == size_bytes
+      && xdr_sizeof ((xdrproc_t)xdr_peer_message, message) == size_bytes)
     return true;
   xdr_free ((xdrproc_t)xdr_peer_message, message);
   memset (message, 0, sizeof *message);
--- a/src/proxy/forwarded_sessions.c
+++ b/src/proxy/forwarded_sessions.c
@@ -29,6 +29,7 @@
   struct hosts *hosts;
   struct callers *callers;
   struct catalog *catalog;
+  statement_check check;
   struct forwarded_session *list;
   size_t count;
   bool stopped; /* accepts no new session */
@@ -139,7 +140,7 @@
   return NULL;
 }
 
-/* Returns NULL if a name of the request is too long.  */
+/* Returns NULL if a name of the request is none.  */
 static struct forwarded_session *
 open_session (struct forwarded_sessions *sessions, const char *workspace,
               const peer_forward *request)
@@ -152,7 +153,9 @@
                          .target_ms = request->target_ms,
                          .max_staleness_ms = request->max_staleness_ms,
                          .priority = request->priority };
+  bool is_for_none = workspace[0] == '\0';
   if (request->route_kind > ROUTE_SESSION || strlen (workspace) >= NAME_BYTES
+      || (!is_for_none && !text_is_word (workspace))
       || !text_copy (route.database, NAME_BYTES, request->database)
       || !text_copy (route.group, NAME_BYTES, request->group))
     {
@@ -203,27 +206,59 @@
 }
 
 static bool
-may_run (const peer_forward *request)
+is_prepared_kind (u_int kind)
 {
-  return request->kind == STMT_READ || request->kind == STMT_WRITE
-         || request->kind == STMT_EXECUTE || request->kind == STMT_COMMIT;
+  return kind == STMT_PREPARE_READ || kind == STMT_PREPARE_WRITE;
 }
 
-static const char *
-text_or_null (const char *text)
+static struct statement
+statement_of (const peer_forward *request)
 {
-  return text[0] != '\0' ? text : NULL;
+  struct statement statement = { .kind = (enum stmt_kind)request->kind,
+                                 .id = request->id,
+                                 .text = request->text };
+  if (request->kind == STMT_EXECUTE)
+    {
+      statement.name = request->name;
+      statement.rest = request->rest;
+    }
+  return statement;
+}
+
+/* Returns whether the statement of the request and all that it depends on are
+   such as a caller could have sent.  Another host, of another version, must
+   not put more on the wire than a caller.  */
+static bool
+may_run (const struct forwarded_sessions *sessions,
+         const peer_forward *request)
+{
+  struct statement statement = statement_of (request);
+  if (request->kind != STMT_READ && request->kind != STMT_WRITE
+      && request->kind != STMT_EXECUTE && request->kind != STMT_COMMIT)
+    return false;
+  if (!sessions->check (&statement))
+    return false;
+  for (u_int i = 0; i < request->values.values_len; i++)
+    {
+      const peer_value *value = &request->values.values_val[i];
+      if (!sessions->check (&(struct statement){
+              .kind = STMT_SET, .name = value->name, .rest = value->text }))
+        return false;
+    }
+  if (request->kind != STMT_EXECUTE)
+    return true;
+  return is_prepared_kind (request->prepared_kind)
+         && sessions->check (&(struct statement){
+             .kind = (enum stmt_kind)request->prepared_kind,
+             .name = request->name,
+             .rest = request->shape });
 }
 
 static void
 run (struct forwarded_session *session, uint64_t call,
      const peer_forward *request)
 {
-  struct statement statement = { .kind = (enum stmt_kind)request->kind,
-                                 .id = request->id,
-                                 .text = text_or_null (request->text),
-                                 .name = text_or_null (request->name),
-                                 .rest = request->rest };
+  struct statement statement = statement_of (request);
   kernel_timer_cancel (session->owner->base.kernel, &session->end);
   session->call = call;
   caller_submit (session->caller, &statement);
@@ -240,7 +275,7 @@
       forwarded_session_free (session);
       reply_ended (sessions, call, true);
     }
-  else if (session->call != 0 || !may_run (request)
+  else if (session->call != 0 || !may_run (sessions, request)
            || !apply_session_state (session->caller, request))
     refuse (sessions, call);
   else
@@ -263,7 +298,7 @@
       reply_ended (sessions, call, request->kind == STMT_ROLLBACK);
       return;
     }
-  if (!sessions->stopped && may_run (request))
+  if (!sessions->stopped && may_run (sessions, request))
     session = open_session (sessions, workspace, request);
   if (session == NULL)
     refuse (sessions, call);
@@ -327,11 +362,12 @@
     = { .start = forwarded_sessions_start, .free = forwarded_sessions_free };
 
 struct forwarded_sessions *
-forwarded_sessions_new (void)
+forwarded_sessions_new (statement_check check)
 {
   struct forwarded_sessions *sessions = mem_zalloc (sizeof *sessions);
   sessions->base.ops = &forwarded_sessions_ops;
   sessions->base.name = "forwarded_sessions";
+  sessions->check = check;
   return sessions;
 }
 
--- a/src/proxy/forwarded_sessions.h
+++ b/src/proxy/forwarded_sessions.h
@@ -7,12 +7,16 @@
    host.  If that host stops sending, the session ends after an idle timeout
    that is longer than the one that the sending host applies itself.
 
+   A statement is checked as strictly as one of a caller of this host, since
+   the sending host may be of another version.
+
    Module name: "forwarded_sessions".  */
 
 #ifndef SAVORYWAY_PROXY_FORWARDED_SESSIONS_H
 #define SAVORYWAY_PROXY_FORWARDED_SESSIONS_H
 
 #include "kernel/kernel.h"
+#include "proxy/statement.h"
 
 /* Added to the configured idle timeout of transactions, which the sending host
    enforces.  */
@@ -23,7 +27,8 @@
 
 struct forwarded_sessions;
 
-struct forwarded_sessions *forwarded_sessions_new (void);
+/* CHECK decides which statements are accepted; the others are refused.  */
+struct forwarded_sessions *forwarded_sessions_new (statement_check check);
 struct module *forwarded_sessions_module (struct forwarded_sessions *sessions);
 
 /* Returns the number of running statements and open transactions.  */
--- a/src/proxy/statement.h
+++ b/src/proxy/statement.h
@@ -118,6 +118,10 @@
 typedef bool (*status_parse) (struct instance_status *status,
                               const struct answer *answer);
 
+/* Returns whether STATEMENT, of another host, is one that a caller could have
+   sent.  Without an id it is a SET or PREPARE of the session's state.  */
+typedef bool (*statement_check) (const struct statement *statement);
+
 /* Orders positions by term, then by LSN.  Returns -1, 0 or 1.  */
 int position_compare (struct position a, struct position b);
 
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -9,6 +9,7 @@
 #include <utlist.h>
 
 #include "kernel/mem.h"
+#include "kernel/text.h"
 #include "platform/wire.h"
 #include "proxy/values.h"
 #include "tests/fleet/fleet.h"
@@ -842,7 +843,7 @@
       || sent->kind == STMT_PREPARE_READ)
     {
       copy_text (sent->name, next_field (&rest));
-      if (!wire_is_word (sent->name))
+      if (!text_is_word (sent->name))
         return false;
     }
   if (sent->kind == STMT_PREPARE_READ)
@@ -867,7 +868,7 @@
   *end = '\0';
   const char *query = next_field (&rest), *id = next_field (&rest);
   snprintf (sent->id, sizeof sent->id, "%s", id);
-  if (strcmp (query, "QUERY") != 0 || !wire_is_word (id))
+  if (strcmp (query, "QUERY") != 0 || !text_is_word (id))
     return false;
   if (strncmp (rest, "AFTER ", 6) == 0)
     {
--- a/tests/fleet/fleet_oracle.c
+++ b/tests/fleet/fleet_oracle.c
@@ -609,9 +609,12 @@
       = { .kind = kind, .id = caller->id, .name = name, .rest = rest };
   snprintf (caller->id, NAME_BYTES, "q%llu",
             (unsigned long long)++fleet->next_id);
-  snprintf (text, sizeof text, "%s %s", kind == STMT_WRITE ? "WRITE" : "READ",
-            name != NULL ? name : "");
-  if (kind == STMT_READ || kind == STMT_WRITE)
+  if (kind == STMT_EXECUTE)
+    snprintf (text, sizeof text, "EXECUTE %s %s", name, rest);
+  else
+    snprintf (text, sizeof text, "%s %s",
+              kind == STMT_WRITE ? "WRITE" : "READ", name != NULL ? name : "");
+  if (kind == STMT_READ || kind == STMT_WRITE || kind == STMT_EXECUTE)
     statement.text = text;
   if (kind == STMT_COMMIT)
     statement.text = "COMMIT";
--- a/tests/fleet/fleet_world.c
+++ b/tests/fleet/fleet_world.c
@@ -11,6 +11,7 @@
 
 #include "kernel/mem.h"
 #include "platform/catalog_loader.h"
+#include "platform/wire.h"
 
 /* Virtual time at which a fleet starts.  */
 #define START_MS 1000000
@@ -365,7 +366,7 @@
   host->groups = groups_new (&groups);
   host->peer_handler = NULL;
   host->others = hosts_new (&hosts);
-  host->forwarded_sessions = forwarded_sessions_new ();
+  host->forwarded_sessions = forwarded_sessions_new (wire_check_statement);
   host->roster = roster_new (&roster);
   host->promoter = promoter_new (&promoter);
   host->callers = callers_new ();
--- a/tests/unit/test_forwarding.c
+++ b/tests/unit/test_forwarding.c
@@ -104,6 +104,100 @@
   ck_abort_msg ("every host serves the group");
 }
 
+static peer_kind reply_kind;
+
+static void
+on_reply (void *arg, enum peer_status status, const peer_message *reply)
+{
+  (void)arg;
+  ck_assert_int_eq (status, PEER_OK);
+  reply_kind = reply->body.kind;
+}
+
+/* Sends REQUEST from one host to another and returns the kind of the reply.
+   The oracle reports it if an instance runs the statement.  */
+static peer_kind
+forward (const peer_forward *request, const char *workspace)
+{
+  peer_body body = { .kind = PEER_KIND_FORWARD_AS };
+  body.peer_body_u.forward_as.workspace = (char *)workspace;
+  body.peer_body_u.forward_as.forward = *request;
+  struct peer_address to = { 0 };
+  snprintf (to.name, sizeof to.name, "%s", fleet_host (fleet, 1)->name);
+  reply_kind = PEER_KIND_FORWARD_AS;
+  hosts_call (fleet_host (fleet, 0)->others, &to, &body, 1000, on_reply, NULL);
+  fleet_run (fleet, 1000);
+  return reply_kind;
+}
+
+/* Guards against UNASKED: what another host forwarded was not checked, so that
+   one of another version could put any fields on the wire, and a write as a
+   read.  */
+UNIT_TEST (test_a_forwarded_statement_is_checked_like_one_of_a_caller)
+{
+  static char *const bad_ids[] = { "", "-", "q 1", "q\n1" };
+  static const struct
+  {
+    enum stmt_kind kind;
+    char *text, *name, *rest;
+    enum stmt_kind prepared_kind;
+    char *shape;
+  } bad[] = {
+    { STMT_READ, "WRITE a 1", "", "", 0, "" },
+    { STMT_READ, "AFTER 1.1 READ a", "", "", 0, "" },
+    { STMT_READ, "READ a\nQUERY f0 WRITE a 1", "", "", 0, "" },
+    { STMT_READ, "READ a\r", "", "", 0, "" },
+    { STMT_READ, "", "", "", 0, "" },
+    { STMT_WRITE, "COMMIT", "", "", 0, "" },
+    { STMT_COMMIT, "COMMIT x", "", "", 0, "" },
+    { STMT_SET, "SET a b", "a", "b", 0, "" },
+    { STMT_RESET, "RESET", "", "", 0, "" },
+    { STMT_EXECUTE, "EXECUTE s x", "s", "y", STMT_PREPARE_READ, "q" },
+    { STMT_EXECUTE, "EXECUTE s x", "t", "x", STMT_PREPARE_READ, "q" },
+    { STMT_EXECUTE, "READ x", "s", "x", STMT_PREPARE_READ, "q" },
+    { STMT_EXECUTE, "", "s", "x", STMT_PREPARE_READ, "q" },
+    { STMT_EXECUTE, "EXECUTE s x", "s", "x", STMT_STEPDOWN, "q" },
+    { STMT_EXECUTE, "EXECUTE s x", "s", "x", STMT_PREPARE_READ, "q\nCOMMIT" },
+  };
+  peer_value value = { .name = "lang", .text = "sw" };
+  peer_forward sound = { .number = 1,
+                         .database = FLEET_DATABASE_PRIMARY,
+                         .group = FLEET_GROUP,
+                         .timeout_ms = 900,
+                         .values = { 1, &value },
+                         .kind = STMT_COMMIT,
+                         .id = "f1",
+                         .text = "COMMIT",
+                         .name = "",
+                         .shape = "",
+                         .rest = "" };
+  ck_assert_int_eq (forward (&sound, "ws-1"), PEER_KIND_FORWARDED);
+  ck_assert_int_eq (forward (&sound, ""), PEER_KIND_FORWARDED);
+  ck_assert_int_eq (forward (&sound, "ws 1"), PEER_KIND_REFUSED);
+  for (size_t i = 0; i < sizeof bad_ids / sizeof bad_ids[0]; i++)
+    {
+      peer_forward request = sound;
+      request.id = bad_ids[i];
+      ck_assert_msg (forward (&request, "") == PEER_KIND_REFUSED, "id %zu", i);
+    }
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      peer_forward request = sound;
+      request.kind = bad[i].kind;
+      request.text = bad[i].text;
+      request.name = bad[i].name;
+      request.rest = bad[i].rest;
+      request.prepared_kind = bad[i].prepared_kind;
+      request.shape = bad[i].shape;
+      ck_assert_msg (forward (&request, "") == PEER_KIND_REFUSED, "case %zu",
+                     i);
+    }
+  value.name = "lang sw";
+  ck_assert_int_eq (forward (&sound, ""), PEER_KIND_REFUSED);
+  value = (peer_value){ .name = "lang", .text = "sw\nCOMMIT" };
+  ck_assert_int_eq (forward (&sound, ""), PEER_KIND_REFUSED);
+}
+
 UNIT_TEST (test_a_transaction_is_aborted_if_the_host_that_runs_it_dies)
 {
   use_limited_fleet ();
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -234,6 +234,24 @@
   free (executed->payload.payload_val);
 }
 
+/* Guards against UNASKED: a string with a zero byte was cut there, and a write
+   with the rest of its data run.  */
+UNIT_PLAIN (test_a_string_with_a_zero_byte_is_not_decoded)
+{
+  peer_message message = { .from = { .host = "a", .domain = "x" } }, decoded;
+  peer_executed *executed = &message.body.peer_body_u.executed;
+  struct rpc_body body;
+  message.body.kind = PEER_KIND_EXECUTED;
+  executed->sqlstate = "";
+  executed->message = "40bags_for-the-gate";
+  ck_assert (rpc_body_encode (&body, &message, RECORD_BUFFER_BYTES));
+  ck_assert (rpc_body_decode (body.data, body.size_bytes, &decoded));
+  xdr_free ((xdrproc_t)xdr_peer_message, &decoded);
+  *(char *)memchr (body.data, '_', body.size_bytes) = '\0';
+  ck_assert (!rpc_body_decode (body.data, body.size_bytes, &decoded));
+  free (body.data);
+}
+
 /* Opens a connection to host b, to which the test writes bytes itself.  */
 static int
 raw_connect (void)
