Tell session values apart by a cryptographic hash

A caller could read with the values of another (PINNED): a connection on which values of the same hash were set was used without a set-up. Cause: the values of a session were identified by 64 bits of XXH64, of texts that callers choose. For 64 byte texts a collision is a computation of some milliseconds. Change: the id of a set is BLAKE2b, of 256 bits, over those of its values. A copy of the values on each connection would do as well, but may take 64 KB and more for each.

--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -141,7 +141,7 @@
   const struct conn_user_ops *ops;
   struct backend *waits_for; /* NULL: not waiting */
   uint32_t priority;         /* 0 is the highest */
-  uint64_t values_hash;      /* prefers a connection with these values */
+  struct values_id values;   /* prefers a connection with these */
   /* For which it runs statements; "" for none.  NULL: it runs no statement of
      a caller, and any connection will do.  */
   const char *workspace;
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -203,7 +203,7 @@
 send_reset (struct backend_conn *conn, enum conn_step step)
 {
   conn_send (conn, step, &(struct statement){ .kind = STMT_RESET }, NULL);
-  conn->values_hash = 0;
+  conn->values = values_id_none;
   forget_statements (conn);
 }
 
@@ -234,7 +234,7 @@
     {
       /* Its values are unknown: the set-up for the next user starts with
          RESET.  */
-      conn->values_hash = UINT64_MAX;
+      conn->values = values_id_unknown;
       forget_statements (conn);
     }
   if (conn->user != NULL && pending->step != STEP_FENCE)
@@ -492,7 +492,7 @@
                                     .name = values->items[i].name,
                                     .rest = values->items[i].text },
                NULL);
-  conn->values_hash = values->hash;
+  conn->values = values->id;
 }
 
 /* Prepares the statement of KIND and SHAPE, which is new on CONN.  */
@@ -518,9 +518,10 @@
              enum stmt_kind kind, const char *shape)
 {
   uint32_t before = conn->pending_count;
-  if (conn->values_hash != values->hash && !MUTANT (skip_values))
+  if (!values_id_equal (&conn->values, &values->id) && !MUTANT (skip_values))
     {
-      if (conn->values_hash != 0 && conn->state == TX_IDLE)
+      if (!values_id_equal (&conn->values, &values_id_none)
+          && conn->state == TX_IDLE)
         send_reset (conn, STEP_SETUP);
       send_values (conn, values);
     }
@@ -537,7 +538,7 @@
       conn, STEP_SETUP,
       &(struct statement){ .kind = STMT_SET, .name = name, .rest = value },
       NULL);
-  conn->values_hash = values->hash;
+  conn->values = values->id;
 }
 
 uint32_t
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -59,9 +59,9 @@
   enum conn_phase phase;
   struct conn_user *user;
   enum tx_state state;
-  uint64_t values_hash; /* of the values set on it; UINT64_MAX: unknown */
-  uint64_t last_number; /* of a statement prepared on it */
-  size_t prepared;      /* since the last RESET */
+  struct values_id values; /* set on it */
+  uint64_t last_number;    /* of a statement prepared on it */
+  size_t prepared;         /* since the last RESET */
   struct conn_statement statements[BACKEND_PREPARED_LIMIT]; /* the last ones */
   struct pending_answer pending[PENDING_LIMIT]; /* ring, oldest first */
   uint32_t pending_head;
--- a/src/proxy/backend_pool.c
+++ b/src/proxy/backend_pool.c
@@ -194,10 +194,10 @@
             && !MUTANT (mix_workspaces)))
       continue;
     bool foreign = user->workspace == NULL && conn->workspace != &backend->own;
-    int rank = foreign                                  ? 0
-               : conn->values_hash == user->values_hash ? 3
-               : conn->values_hash == 0                 ? 2
-                                                        : 1;
+    int rank = foreign                                            ? 0
+               : values_id_equal (&conn->values, &user->values)   ? 3
+               : values_id_equal (&conn->values, &values_id_none) ? 2
+                                                                  : 1;
     if (best == NULL || rank > best_rank
         || (rank == best_rank
             && (foreign ? conn->used_ms < best->used_ms
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -85,7 +85,7 @@
     mark_tried (caller, backend);
   run->stage = RUN_CONNECTING;
   caller->user.priority = run->route.priority;
-  caller->user.values_hash = caller->values.hash;
+  caller->user.values = caller->values.id;
   caller->user.workspace = caller->workspace;
   struct backend_conn *conn = backend_acquire (backend, &caller->user);
   if (conn != NULL)
--- a/src/proxy/values.c
+++ b/src/proxy/values.c
@@ -3,24 +3,40 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
+#include <sodium.h>
 
 #include "kernel/mem.h"
 
+const struct values_id values_id_none = { { 0 } };
+const struct values_id values_id_unknown = { { 1 } };
+
+bool
+values_id_equal (const struct values_id *a, const struct values_id *b)
+{
+  return memcmp (a->bytes, b->bytes, sizeof a->bytes) == 0;
+}
+
 static void
-rehash (struct values *values)
+identify_value (struct value *value)
 {
-  values->hash = 0;
+  crypto_generichash_state state;
+  crypto_generichash_init (&state, NULL, 0, sizeof value->id.bytes);
+  crypto_generichash_update (&state, (const uint8_t *)value->name,
+                             strlen (value->name) + 1);
+  crypto_generichash_update (&state, (const uint8_t *)value->text,
+                             strlen (value->text));
+  crypto_generichash_final (&state, value->id.bytes, sizeof value->id.bytes);
+}
+
+static void
+identify_values (struct values *values)
+{
+  crypto_generichash_state state;
+  crypto_generichash_init (&state, NULL, 0, sizeof values->id.bytes);
   for (size_t i = 0; i < values->count; i++)
-    {
-      const struct value *value = &values->items[i];
-      values->hash
-          = XXH64 (value->name, strlen (value->name) + 1, values->hash);
-      values->hash
-          = XXH64 (value->text, strlen (value->text) + 1, values->hash);
-    }
-  if (values->count > 0 && values->hash == 0)
-    values->hash = 1;
+    crypto_generichash_update (&state, values->items[i].id.bytes,
+                               sizeof values->items[i].id.bytes);
+  crypto_generichash_final (&state, values->id.bytes, sizeof values->id.bytes);
 }
 
 static size_t
@@ -81,7 +97,8 @@
   free (values->items[place].text);
   values->items[place].text = mem_strdup (text);
   values->bytes = bytes;
-  rehash (values);
+  identify_value (&values->items[place]);
+  identify_values (values);
   return true;
 }
 
--- a/src/proxy/values.h
+++ b/src/proxy/values.h
@@ -1,7 +1,9 @@
 /* values - session values: names with texts, set by SET and sorted by name.
 
-   The hash identifies the whole set, so that a connection with equal values
-   can be reused without a set-up.  */
+   An id stands for the whole set, so that a connection with equal values can
+   be reused without a set-up.  It is a cryptographic hash, since callers
+   choose the texts: two sets with the same id would let one run with the
+   values of another.  */
 
 #ifndef SAVORYWAY_PROXY_VALUES_H
 #define SAVORYWAY_PROXY_VALUES_H
@@ -14,20 +16,32 @@
 #define VALUES_LIMIT 64
 
 /* Bytes of a value apart from its strings, with those of the allocator.  */
-#define VALUES_ITEM_BYTES 64
+#define VALUES_ITEM_BYTES 96
+
+struct values_id
+{
+  uint8_t bytes[32];
+};
+
+/* Of no values, and of values that are not known.  */
+extern const struct values_id values_id_none;
+extern const struct values_id values_id_unknown;
+
+bool values_id_equal (const struct values_id *a, const struct values_id *b);
 
 struct value
 {
   char *name;
   char *text;
+  struct values_id id; /* of this value alone */
 };
 
 struct values
 {
   size_t count;
   struct value *items;
-  uint64_t hash; /* 0 without values */
-  size_t bytes;  /* of all items */
+  struct values_id id;
+  size_t bytes; /* of all items */
 };
 
 /* Returns what values->bytes would be with NAME set to TEXT.  */
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -75,6 +75,24 @@
   ck_assert_int_eq (run (b, STMT_EXECUTE, "unknown", "x"), CODE_NOSTMT);
 }
 
+/* Guards against PINNED: sets of values were told apart by XXH64, for which
+   callers can make texts of the same hash, such as these.  */
+UNIT_TEST (test_values_of_the_same_short_hash_are_told_apart)
+{
+  static const char *const texts[]
+      = { "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+          "fngvketzaaaaaaaaaaaaaaaaaaaaaaaa5yY0tP_zaaaaaaaaaaaaaaaaaaaaaaaa" };
+  struct fleet_host *host = fleet_host (fleet, 0);
+  for (int i = 0; i < 16; i++)
+    {
+      struct fleet_caller *caller
+          = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      ck_assert_int_eq (run (caller, STMT_SET, "v", texts[i / 8]), CODE_OK);
+      ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+      fleet_caller_close (caller);
+    }
+}
+
 /* Guards against UNASKED: the blanks of a shape became part of the name under
    which it was prepared, so that EXECUTE had more fields.  */
 UNIT_TEST (test_shapes_with_blanks_are_executed_as_they_were_prepared)
