Accept only words as ids and names, and the whole rest as the key

Parts of a caller's message were left out or taken for something else, without an error: "DEALLOCATE a b" deallocated "a", "STARTUP db key more" was let in with the key "key", and ids and names with control characters went into logs and to instances and other hosts. An error text of another host could have ended the line and begun another answer. Cause: fields were split at blanks and not checked, and what followed the last one that was needed was dropped. Change: ids and names must be words; the last field is the whole rest of the line. What is not understood gets ERROR MALFORMED.

--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -88,6 +88,100 @@
   evbuffer_free (out);
 }
 
+/* Guards against UNASKED: what an instance gets is the text of the caller, or
+   the caller gets an error.  */
+UNIT_PLAIN (test_odd_texts_are_forwarded_unchanged_or_refused)
+{
+  static const char *const taken[] = { "QUERY 1 READ AFTER 3.1 READ a",
+                                       "QUERY 1 READ  a",
+                                       "QUERY 1 READ a ",
+                                       "QUERY 1 READ \ta",
+                                       "QUERY 1 READ ",
+                                       "QUERY 1 READ QUERY 2 COMMIT",
+                                       "QUERY 1 READ a\x01\x7f\xff",
+                                       "QUERY 1 WRITE a AFTER 1.1",
+                                       "QUERY 1 WRITE a  b  ",
+                                       "QUERY 1 WRITE a READ b",
+                                       "QUERY \xc3\xa4 READ a",
+                                       "QUERY -1 READ a",
+                                       "QUERY AFTER READ a",
+                                       "QUERY QUERY WRITE WRITE",
+                                       "QUERY 1 COMMIT",
+                                       "QUERY 1 EXECUTE s1 x  y ",
+                                       "QUERY 1 EXECUTE s1 ",
+                                       "QUERY 1 EXECUTE READ WRITE a",
+                                       "QUERY 1 SET a  b ",
+                                       "QUERY 1 PREPARE READ WRITE READ  q " };
+  static const char *const unknown[] = { "QUERY 1 AFTER 3.1 READ a",
+                                         "QUERY 1 AFTER READ a",
+                                         "QUERY 1  READ a",
+                                         "QUERY 1 READ",
+                                         "QUERY 1 READ\ta",
+                                         "QUERY 1 read a",
+                                         "QUERY 1 BEGIN READ x",
+                                         "QUERY 1 BEGIN  READ",
+                                         "QUERY 1 BEGIN READ ",
+                                         "QUERY 1 BEGIN ",
+                                         "QUERY 1 COMMIT ",
+                                         "QUERY 1 ROLLBACK TO a",
+                                         "QUERY 1 EXECUTE  s1 x",
+                                         "QUERY 1 EXECUTE s1",
+                                         "QUERY 1 EXECUTE s\t1 x",
+                                         "QUERY 1 SET a\tb c",
+                                         "QUERY 1 SET  a b",
+                                         "QUERY 1 SET a",
+                                         "QUERY 1 PREPARE s1 READ ",
+                                         "QUERY 1 PREPARE s1  READ q",
+                                         "QUERY 1 PREPARE s\x01 READ q",
+                                         "QUERY 1 PREPARE s1 q",
+                                         "QUERY 1 DEALLOCATE",
+                                         "QUERY 1 DEALLOCATE a b",
+                                         "QUERY 1 DEALLOCATE a ",
+                                         "QUERY 1 DEALLOCATE  a",
+                                         "QUERY 1 " };
+  static const char *const malformed[]
+      = { "QUERY  READ a",    "QUERY \t READ a", "QUERY 1\x7f READ a",
+          "QUERY 1\t READ a", "QUERY 1",         "QUERY",
+          " QUERY 1 READ a",  "QUERY\t1 READ a", "query 1 READ a",
+          "STARTUP",          "STARTUP  db" };
+  struct evbuffer *out = evbuffer_new ();
+  for (size_t i = 0; i < sizeof taken / sizeof taken[0]; i++)
+    {
+      parse (taken[i]);
+      ck_assert_msg (wire_check_statement (&request.statement), "%s",
+                     taken[i]);
+      ck_assert (wire_put_statement (out, &request.statement, NULL));
+      char *sent = drain_buffer (out);
+      ck_assert_msg (strncmp (sent, taken[i], strlen (taken[i])) == 0
+                         && strcmp (sent + strlen (taken[i]), "\r\n") == 0,
+                     "%s", sent);
+      free (sent);
+    }
+  evbuffer_free (out);
+  for (size_t i = 0; i < sizeof unknown / sizeof unknown[0]; i++)
+    {
+      parse (unknown[i]);
+      ck_assert_msg (request.kind == WIRE_QUERY
+                         && request.statement.kind == STMT_UNKNOWN
+                         && !wire_check_statement (&request.statement),
+                     "%s", unknown[i]);
+    }
+  for (size_t i = 0; i < sizeof malformed / sizeof malformed[0]; i++)
+    {
+      parse (malformed[i]);
+      ck_assert_msg (request.kind == WIRE_MALFORMED, "%s", malformed[i]);
+    }
+}
+
+UNIT_PLAIN (test_the_key_is_the_rest_of_the_message)
+{
+  parse ("STARTUP db key more");
+  ck_assert_str_eq (request.database, "db");
+  ck_assert_str_eq (request.key, "key more");
+  parse ("STARTUP db ");
+  ck_assert_ptr_null (request.key);
+}
+
 UNIT_PLAIN (test_rejects_injected_messages_and_reserved_ids)
 {
   parse ("QUERY 1 READ a\nQUERY 2 WRITE a 1");
@@ -205,10 +299,13 @@
   struct answer answer
       = { .code = CODE_BUSY, .text = "later", .state = TX_FAILED };
   wire_put_answer (out, &answer);
+  answer.text = "of another host\r\nCOMPLETE 7.1";
+  wire_put_answer (out, &answer);
   answer = (struct answer){ .code = CODE_OK };
   wire_put_answer (out, &answer);
   char *sent = drain_buffer (out);
   ck_assert_str_eq (sent, "ERROR BUSY later\r\nREADY E -\r\n"
+                          "ERROR BUSY -\r\nREADY E -\r\n"
                           "COMPLETE -\r\nREADY I -\r\n");
   free (sent);
   evbuffer_free (out);
@@ -542,6 +639,20 @@
   return length;
 }
 
+/* Checks that MESSAGE of a caller, as it was parsed, is sent unchanged.  */
+static void
+check_unchanged (const char *message)
+{
+  struct evbuffer *out = evbuffer_new ();
+  ck_assert (wire_check_statement (&request.statement));
+  ck_assert (wire_put_statement (out, &request.statement, NULL));
+  char *sent = drain_buffer (out), *expected = mem_printf ("%s\r\n", message);
+  ck_assert_str_eq (sent, expected);
+  free (expected);
+  free (sent);
+  evbuffer_free (out);
+}
+
 UNIT_PLAIN (test_mutated_input_does_not_crash_the_parsers)
 {
   static const char *const messages[] = { "STARTUP lepu270 u3f1",
@@ -570,6 +681,8 @@
       size_t length = mutate (&rng, messages[i % 8], out, sizeof out);
       memcpy (copy, out, length + 1);
       wire_parse_request (&request, copy, length, text);
+      if (request.kind == WIRE_QUERY && request.statement.kind != STMT_UNKNOWN)
+        check_unchanged (out);
       wire_parse_reply (&answer, out);
       length = mutate (&rng, bodies[i % 4], out, sizeof out);
       enum platform_call_kind kind
