--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -23,9 +23,10 @@
 static void
 forget_statements (struct backend_conn *conn)
 {
-  for (size_t i = 0; i < conn->statement_count; i++)
-    free (conn->statements[i]);
-  conn->statement_count = 0;
+  for (size_t i = 0; i < BACKEND_PREPARED_LIMIT; i++)
+    free (conn->statements[i].shape);
+  memset (conn->statements, 0, sizeof conn->statements);
+  conn->prepared = 0;
 }
 
 /* Frees CONN, whose link is closed.  */
@@ -226,7 +227,7 @@
     {
       /* Its values are unknown: the set-up for the next user starts with
          RESET.  */
-      conn->values_hash = UINT64_MAX;
+      conn->values = values_id_unknown;
       forget_statements (conn);
     }
   if (conn->user != NULL && pending->step != STEP_FENCE)
@@ -235,27 +236,34 @@
     clean (conn);
 }
 
+static void
+print_statement_name (uint64_t number, char out[BACKEND_STATEMENT_NAME_BYTES])
+{
+  snprintf (out, BACKEND_STATEMENT_NAME_BYTES, "s%" PRIu64, number);
+}
+
 /* Sends statements that succeed and change nothing.  A transaction that has
    failed must be rolled back for that.  */
 static void
 send_fences (struct backend_conn *conn)
 {
-  char name[24];
+  char name[BACKEND_STATEMENT_NAME_BYTES];
   if (conn->held.state == TX_FAILED && conn->pending_count == 1)
     conn_send (conn, STEP_FENCE, &(struct statement){ .kind = STMT_ROLLBACK },
                NULL);
   for (int i = 0; i < BACKEND_FENCES; i++)
     {
-      snprintf (name, sizeof name, "fence%" PRIu32, ++conn->fences);
+      print_statement_name (++conn->last_number, name);
+      conn->prepared++;
       conn_send (conn, STEP_FENCE,
                  &(struct statement){ .kind = STMT_PREPARE_READ,
                                       .name = name,
                                       .rest = "fence" },
                  NULL);
     }
-  if (conn->fences < BACKEND_PREPARED_LIMIT)
+  if (conn->prepared < BACKEND_PREPARED_LIMIT)
     return;
-  conn->values_hash = UINT64_MAX; /* lets the next set-up send RESET */
+  conn->values = values_id_unknown; /* lets the next set-up send RESET */
   forget_statements (conn);
 }
 
@@ -482,11 +490,42 @@
                                     statement, after);
 }
 
+/* Returns the number of the statement of KIND and SHAPE, or 0 if it is not
+   prepared.  */
+static uint64_t
+statement_number (const struct backend_conn *conn, enum stmt_kind kind,
+                  const char *shape)
+{
+  for (size_t i = 0; i < BACKEND_PREPARED_LIMIT; i++)
+    {
+      const struct conn_statement *statement = &conn->statements[i];
+      if (statement->number != 0 && statement->kind == kind
+          && strcmp (statement->shape, shape) == 0)
+        return statement->number;
+    }
+  return 0;
+}
+
+/* Records a new statement, in place of the oldest one if there are too
+   many.  */
+static void
+add_statement (struct backend_conn *conn, enum stmt_kind kind,
+               const char *shape)
+{
+  struct conn_statement *statement
+      = &conn->statements[conn->prepared++ % BACKEND_PREPARED_LIMIT];
+  free (statement->shape);
+  *statement = (struct conn_statement){ .number = ++conn->last_number,
+                                        .kind = kind,
+                                        .shape = mem_strdup (shape) };
+}
+
 void
-conn_statement_name (enum stmt_kind kind, const char *shape, char *out,
-                     size_t size)
+conn_statement_name (const struct backend_conn *conn, enum stmt_kind kind,
+                     const char *shape, char out[BACKEND_STATEMENT_NAME_BYTES])
 {
-  snprintf (out, size, "%c_%s", kind == STMT_PREPARE_WRITE ? 'w' : 'r', shape);
+  /* The instance knows no s0.  */
+  print_statement_name (statement_number (conn, kind, shape), out);
 }
 
 static void
@@ -494,8 +533,7 @@
 {
   conn_send (conn, STEP_SETUP, &(struct statement){ .kind = STMT_RESET },
              NULL);
-  conn->values_hash = 0;
-  conn->fences = 0;
+  conn->values = values_id_none;
   forget_statements (conn);
 }
 
@@ -508,47 +546,42 @@
                                     .name = values->items[i].name,
                                     .rest = values->items[i].text },
                NULL);
-  conn->values_hash = values->hash;
+  conn->values = values->id;
 }
 
-static bool
-has_statement (const struct backend_conn *conn, const char *name)
+/* Prepares the statement of KIND and SHAPE, which is new on CONN.  */
+static void
+prepare_statement (struct backend_conn *conn, const struct values *values,
+                   enum stmt_kind kind, const char *shape)
 {
-  for (size_t i = 0; i < conn->statement_count; i++)
-    if (strcmp (conn->statements[i], name) == 0)
-      return true;
-  return false;
+  char name[BACKEND_STATEMENT_NAME_BYTES];
+  if (conn->prepared >= BACKEND_PREPARED_LIMIT && conn->state == TX_IDLE)
+    {
+      send_reset (conn);
+      send_values (conn, values);
+    }
+  add_statement (conn, kind, shape);
+  conn_statement_name (conn, kind, shape, name);
+  conn_send (conn, STEP_SETUP,
+             &(struct statement){ .kind = kind, .name = name, .rest = shape },
+             NULL);
 }
 
 bool
 conn_set_up (struct backend_conn *conn, const struct values *values,
              enum stmt_kind kind, const char *shape)
 {
-  char name[VALUE_NAME_BYTES + 2];
   uint32_t before = conn->pending_count;
-  bool in_transaction = conn->state != TX_IDLE;
-  if (conn->values_hash != values->hash && !MUTANT (skip_values))
+  if (!values_id_equal (&conn->values, &values->id) && !MUTANT (skip_values))
     {
-      if (conn->values_hash != 0 && !in_transaction)
+      if (!values_id_equal (&conn->values, &values_id_none)
+          && conn->state == TX_IDLE)
         send_reset (conn);
       send_values (conn, values);
     }
-  if (shape == NULL)
-    return conn->pending_count > before;
-  conn_statement_name (kind, shape, name, sizeof name);
-  if (has_statement (conn, name))
-    return conn->pending_count > before;
-  if (conn->statement_count == BACKEND_PREPARED_LIMIT && !in_transaction)
-    {
-      send_reset (conn);
-      send_values (conn, values);
-    }
-  conn_send (conn, STEP_SETUP,
-             &(struct statement){ .kind = kind, .name = name, .rest = shape },
-             NULL);
-  if (conn->statement_count < BACKEND_PREPARED_LIMIT)
-    conn->statements[conn->statement_count++] = mem_strdup (name);
-  return true;
+  if (shape != NULL && statement_number (conn, kind, shape) == 0)
+    prepare_statement (conn, values, kind, shape);
+  return conn->pending_count > before;
 }
 
 void
@@ -559,7 +592,7 @@
       conn, STEP_SETUP,
       &(struct statement){ .kind = STMT_SET, .name = name, .rest = value },
       NULL);
-  conn->values_hash = values->hash;
+  conn->values = values->id;
 }
 
 uint32_t
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -43,6 +43,14 @@
   struct pool_workspace *next;
 };
 
+/* A statement that is prepared on a connection under its number.  */
+struct conn_statement
+{
+  uint64_t number;
+  enum stmt_kind kind;
+  char *shape;
+};
+
 struct backend_conn
 {
   struct backend *backend;
@@ -51,9 +59,10 @@
   enum conn_phase phase;
   struct conn_user *user;
   enum tx_state state;
-  uint64_t values_hash; /* of the values set on it; UINT64_MAX: unknown */
-  size_t statement_count;
-  char *statements[BACKEND_PREPARED_LIMIT];
+  struct values_id values; /* set on it */
+  uint64_t last_number;    /* of a statement prepared on it */
+  size_t prepared;         /* since the last RESET */
+  struct conn_statement statements[BACKEND_PREPARED_LIMIT]; /* the last ones */
   struct pending_answer pending[PENDING_LIMIT]; /* ring, oldest first */
   uint32_t pending_head;
   uint32_t pending_count;
@@ -64,10 +73,9 @@
   char *held_text;
   uint32_t fenced;           /* statements behind it that are answered */
   enum tx_state fence_state; /* after these */
-  uint32_t fences;           /* names of them that the instance knows */
-  clk_ms since_ms;       /* start of the phase */
-  clk_ms used_ms;        /* last use for a caller; when opened, if none */
-  struct ktimer timeout; /* of opening or cleaning */
+  clk_ms since_ms;           /* start of the phase */
+  clk_ms used_ms;            /* last use for a caller; when opened, if none */
+  struct ktimer timeout;     /* of opening or cleaning */
   struct backend_conn *prev;
   struct backend_conn *next;
 };
