Count how often answers may come twice before a refusal is believed

Callers could be told that a write had been refused though it was committed (REFUSED, TWICE), or get the answer of another (MIXED): an instance that sends all of its answers twice, and all equally late, repeats the refusal and also the answers to the statements that were to settle it. The same shift let a statement run before its own SET was answered (PINNED) or inside a transaction that was left open by an unanswered BEGIN, and a statement of a transaction waited for answers that were not reported to it. Cause: any two unsigned successes settled a doubtful error, errors of the proxy's own statements were never doubtful, and the ring of signatures and the mark of the forgotten errors lost what had come shortly before. Change: once an instance has sent an answer twice, as many statements settle an error, or end a set-up, as unsigned successes of the same state and position may come again, and one more; above 16 the connection is closed. Errors of own statements are doubtful too, except a replica's refusal of BEGIN. A signature is overwritten by its own age. Answers to these statements are reported.

--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -17,45 +17,41 @@
 }
 
 static bool
-is_known (const struct answer_check *check, uint64_t signature)
+is_known (const struct answer_check *check, uint64_t hash)
 {
   for (size_t i = 0; i < check->capacity; i++)
-    if (check->signatures[i] == signature)
+    if (check->signatures[i].hash == hash)
       return true;
   return false;
 }
 
-/* Makes room for the next signature: overwrites the oldest one, or grows if
-   that is too recent.  */
+/* Doubles the ring.  The new places come before the oldest signature.  */
 static void
-make_room (struct answer_check *check, clk_ms now_ms)
+grow (struct answer_check *check)
 {
-  bool is_young = now_ms - check->wrapped_ms < ANSWER_CHECK_KEEP_MS;
-  if (check->next < check->capacity)
-    return;
-  if (check->capacity > 0
-      && (!is_young || check->capacity == ANSWER_CHECK_SIGNATURES))
-    {
-      check->next = 0;
-      check->wrapped_ms = now_ms;
-      return;
-    }
   size_t capacity = check->capacity > 0 ? 2 * check->capacity : FIRST_CAPACITY;
-  check->signatures
-      = mem_resize (check->signatures, capacity * sizeof *check->signatures);
-  memset (check->signatures + check->capacity, 0,
-          (capacity - check->capacity) * sizeof *check->signatures);
-  if (check->capacity == 0)
-    check->wrapped_ms = now_ms;
+  struct answer_signature *old = check->signatures;
+  struct answer_signature *ring = mem_zalloc (capacity * sizeof *ring);
+  for (size_t i = 0; i < check->capacity; i++)
+    ring[i] = old[(check->next + i) % check->capacity];
+  free (old);
+  check->signatures = ring;
+  check->next = check->capacity;
   check->capacity = capacity;
 }
 
 static void
-remember_signature (struct answer_check *check, uint64_t signature,
-                    clk_ms now_ms)
+remember_signature (struct answer_check *check, uint64_t hash, clk_ms now_ms)
 {
-  make_room (check, now_ms);
-  check->signatures[check->next++] = signature;
+  const struct answer_signature *oldest
+      = check->capacity > 0 ? &check->signatures[check->next] : NULL;
+  if (oldest == NULL
+      || (oldest->hash != 0 && now_ms - oldest->at_ms < ANSWER_CHECK_KEEP_MS
+          && check->capacity < ANSWER_CHECK_SIGNATURES))
+    grow (check);
+  check->signatures[check->next]
+      = (struct answer_signature){ .hash = hash, .at_ms = now_ms };
+  check->next = (check->next + 1) % check->capacity;
 }
 
 static struct position
@@ -82,6 +78,17 @@
   return false;
 }
 
+/* Keeps of ERROR that it came, and up to which position.  */
+static void
+forget_error (struct answer_check *check, const struct answer_error *error)
+{
+  struct answer_error *forgotten = &check->forgotten;
+  if (position_compare (error->position, forgotten->position) > 0)
+    forgotten->position = error->position;
+  if (error->at_ms > forgotten->at_ms)
+    forgotten->at_ms = error->at_ms;
+}
+
 /* Remembers ANSWER, an error.  Returns whether it may have come before.  */
 static bool
 note_error (struct answer_check *check, const struct answer *answer,
@@ -97,7 +104,7 @@
   bool earlier = is_earlier_error (check, &error);
   struct answer_error *place = &check->errors[check->next_error];
   if (place->at_ms != 0)
-    check->forgotten = *place;
+    forget_error (check, place);
   *place = error;
   check->next_error = (check->next_error + 1) % ANSWER_CHECK_ERRORS;
   return earlier;
@@ -154,10 +161,10 @@
   bool earlier = note_error (check, answer, now_ms);
   if (!error_fits (awaited->kind, awaited->state, answer->state))
     return ANSWER_UNFIT;
-  /* An error of the proxy's own statements promises nothing to a caller.  */
-  if (is_signed_kind (awaited->kind) && (earlier || check->distrusted))
-    return ANSWER_DOUBTFUL;
-  return ANSWER_OWN;
+  /* A replica refuses each BEGIN in the same way.  */
+  if (awaited->kind == STMT_BEGIN && answer->code == CODE_READONLY)
+    return ANSWER_OWN;
+  return earlier || check->distrusted ? ANSWER_DOUBTFUL : ANSWER_OWN;
 }
 
 static enum answer_verdict
@@ -174,8 +181,19 @@
   return ANSWER_OWN;
 }
 
+static void
+count_unsigned (struct answer_check *check, const struct answer *answer)
+{
+  struct position position = position_of (answer);
+  if (position_compare (position, check->position) != 0)
+    memset (check->counts, 0, sizeof check->counts);
+  check->position = position;
+  check->counts[answer->state]++;
+}
+
 static enum answer_verdict
-match_unsigned (const struct answer_awaited *awaited,
+match_unsigned (struct answer_check *check,
+                const struct answer_awaited *awaited,
                 const struct answer *answer)
 {
   if (answer->is_greeting || is_signed_kind (awaited->kind))
@@ -187,6 +205,7 @@
   if (awaited->kind == STMT_BEGIN && answer->has_position
       && position_compare (answer->position, awaited->position) < 0)
     return ANSWER_UNFIT;
+  count_unsigned (check, answer);
   return ANSWER_OWN;
 }
 
@@ -203,12 +222,25 @@
   else if (answer->signature != NULL)
     verdict = match_signed (check, awaited, answer, now_ms);
   else
-    verdict = match_unsigned (awaited, answer);
+    verdict = match_unsigned (check, awaited, answer);
   if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
     check->distrusted = true;
   return verdict;
 }
 
+uint32_t
+answer_check_fences (const struct answer_check *check, enum tx_state state)
+{
+  return check->counts[state] + 1;
+}
+
+bool
+answer_check_is_older (const struct answer_check *check,
+                       const struct answer *answer)
+{
+  return position_compare (position_of (answer), check->position) < 0;
+}
+
 bool
 answer_check_is_harmless (struct answer_check *check, enum tx_state state,
                           const struct answer *answer)
--- a/src/proxy/answer_check.h
+++ b/src/proxy/answer_check.h
@@ -12,7 +12,10 @@
      of the statement, and the log of a primary doesn't go back.
    - An error that is equal to an earlier one of the connection, the position
      of the log included, may be either.  So may any error of an instance that
-     has sent an answer twice.
+     has sent an answer twice.  If it comes again, the own answer is still due,
+     and comes before the answers to later statements.  More unsigned successes
+     than the connection has had, in the same state and at the same position,
+     can't all have come twice, so as many show that none is due.
 
    A signature is remembered for ANSWER_CHECK_KEEP_MS at least, unless there
    are more than ANSWER_CHECK_SIGNATURES later ones.  */
@@ -56,16 +59,23 @@
   clk_ms at_ms;
 };
 
+struct answer_signature
+{
+  uint64_t hash;
+  clk_ms at_ms;
+};
+
 struct answer_check
 {
-  uint64_t *signatures; /* hashes; a ring */
+  struct answer_signature *signatures; /* a ring */
   size_t capacity;
-  size_t next;
-  clk_ms wrapped_ms;                               /* when NEXT was 0 last */
+  size_t next;                                     /* the oldest one */
   struct answer_error errors[ANSWER_CHECK_ERRORS]; /* a ring */
   size_t next_error;
-  struct answer_error forgotten; /* the last one that was overwritten */
-  bool distrusted;               /* an answer was not the statement's own */
+  struct answer_error forgotten;  /* the latest of those overwritten */
+  struct position position;       /* of the last unsigned success */
+  uint32_t counts[TX_FAILED + 1]; /* of them there, by state */
+  bool distrusted;                /* an answer was not the statement's own */
 };
 
 /* Releases what CHECK holds.  A zeroed struct is a valid, empty one.  */
@@ -77,6 +87,17 @@
                                         const struct answer *answer,
                                         clk_ms now_ms);
 
+/* Returns how many unsigned successes that leave the transaction in STATE, at
+   the position of the last one or later, show that no earlier answer is due
+   any more.  */
+uint32_t answer_check_fences (const struct answer_check *check,
+                              enum tx_state state);
+
+/* Returns whether ANSWER, an unsigned success, is at an earlier position than
+   the last one.  */
+bool answer_check_is_older (const struct answer_check *check,
+                            const struct answer *answer);
+
 /* Returns whether ANSWER, which came while no statement was in flight, leaves
    the connection with a transaction in STATE as it was.  */
 bool answer_check_is_harmless (struct answer_check *check, enum tx_state state,
--- a/src/proxy/backend.c
+++ b/src/proxy/backend.c
@@ -232,6 +232,7 @@
   pool_init (backend);
   backend->connect_failed_since_ms = CLK_NEVER;
   backend->probe_unanswered_ms = CLK_NEVER;
+  backend->unmatched_ms = CLK_LONG_AGO;
   backend->probe_user.ops = &probe_ops;
   backend->tick.fire = on_tick;
   backend->tick.arg = backend;
--- a/src/proxy/backend.h
+++ b/src/proxy/backend.h
@@ -13,8 +13,8 @@
    which answer_check tells.  Another one, which the instance has sent twice,
    is ignored, and the connection is closed when it is released.  If the order
    of the answers is lost, it is closed at once.  An error that may have been
-   sent twice is held back until the answers to BACKEND_FENCES statements behind
-   it have shown that the statement has no other answer.
+   sent twice is held back until the answers to statements behind it have shown
+   that the statement has no other answer.
 
    The statements that set a connection up are answered before the statement
    that needs them is sent: otherwise it could run with the wrong values after
@@ -103,9 +103,13 @@
    before the next one.  A transaction can't be reset, and goes on.  */
 #define BACKEND_PREPARED_LIMIT 64
 
-/* Statements that are sent behind one with a doubtful error.  With a single
-   one, another answer that comes twice would do.  */
+/* Number of statements that are sent behind one with a doubtful error.  Once
+   the instance has sent an answer twice, it is as many as answer_check tells,
+   for BACKEND_STUTTER_MS.  If that is above the limit, the connection is
+   closed.  */
 #define BACKEND_FENCES 2
+#define BACKEND_FENCES_LIMIT 16
+#define BACKEND_STUTTER_MS 60000
 
 /* Size of the name of a statement that is prepared on a connection.  */
 #define BACKEND_STATEMENT_NAME_BYTES 24
@@ -118,7 +122,7 @@
   STEP_STATUS,
   STEP_MAIN, /* the statement of the user */
   STEP_END,  /* ROLLBACK sent by the proxy */
-  STEP_FENCE /* sent by the connection; not reported to the user */
+  STEP_FENCE /* sent by the connection */
 };
 
 struct backend;
--- a/src/proxy/backend_conn.c
+++ b/src/proxy/backend_conn.c
@@ -178,14 +178,15 @@
     }
 }
 
-/* Logs that ANSWER doesn't belong to the oldest statement in flight.  PENDING
+/* Notes that ANSWER doesn't belong to the oldest statement in flight.  PENDING
    is NULL if there is none, ANSWER if it has only begun.  */
 static void
-log_unmatched (const struct backend_conn *conn,
-               const struct pending_answer *pending,
-               const struct answer *answer)
+note_unmatched (const struct backend_conn *conn,
+                const struct pending_answer *pending,
+                const struct answer *answer)
 {
-  const struct backend *backend = conn->backend;
+  struct backend *backend = conn->backend;
+  backend->unmatched_ms = backend_now (backend);
   metrics_increment (kernel_metrics (backend->options.kernel),
                      "answers_unmatched_total");
   log_event (
@@ -230,7 +231,7 @@
       conn->values = values_id_unknown;
       forget_statements (conn);
     }
-  if (conn->user != NULL && pending->step != STEP_FENCE)
+  if (conn->user != NULL)
     conn->user->ops->answered (conn->user, conn, pending->step, answer);
   else if (conn->phase == CONN_CLEANING)
     clean (conn);
@@ -242,16 +243,30 @@
   snprintf (out, BACKEND_STATEMENT_NAME_BYTES, "s%" PRIu64, number);
 }
 
-/* Sends statements that succeed and change nothing.  A transaction that has
-   failed must be rolled back for that.  */
+/* Returns whether the instance has sent an answer twice lately.  */
+static bool
+stutters (const struct backend *backend)
+{
+  return backend_now (backend) - backend->unmatched_ms < BACKEND_STUTTER_MS;
+}
+
+/* Returns in which state the transaction is once it is rolled back, if it has
+   failed or that is already sent.  */
+static enum tx_state
+fenced_state (const struct backend_conn *conn, const struct answer *error)
+{
+  bool is_main = conn->pending[conn->pending_head].step == STEP_MAIN;
+  return error->state == TX_FAILED || (is_main && conn->pending_count > 1)
+             ? TX_IDLE
+             : error->state;
+}
+
+/* Sends COUNT statements that succeed and change nothing.  */
 static void
-send_fences (struct backend_conn *conn)
+send_fences (struct backend_conn *conn, uint32_t count)
 {
   char name[BACKEND_STATEMENT_NAME_BYTES];
-  if (conn->held.state == TX_FAILED && conn->pending_count == 1)
-    conn_send (conn, STEP_FENCE, &(struct statement){ .kind = STMT_ROLLBACK },
-               NULL);
-  for (int i = 0; i < BACKEND_FENCES; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
       print_statement_name (++conn->last_number, name);
       conn->prepared++;
@@ -261,16 +276,29 @@
                                       .rest = "fence" },
                  NULL);
     }
-  if (conn->prepared < BACKEND_PREPARED_LIMIT)
-    return;
-  conn->values = values_id_unknown; /* lets the next set-up send RESET */
-  forget_statements (conn);
+  if (conn->prepared >= BACKEND_PREPARED_LIMIT)
+    conn->values = values_id_unknown; /* lets the next set-up send RESET */
 }
 
-/* Holds ERROR back until the statements behind it are answered.  */
-static void
+/* Returns how many statements behind the one with ERROR have to succeed.  */
+static uint32_t
+needed_fences (const struct backend_conn *conn, const struct answer *error)
+{
+  uint32_t count
+      = answer_check_fences (&conn->check, fenced_state (conn, error));
+  return stutters (conn->backend) && count > BACKEND_FENCES ? count
+                                                            : BACKEND_FENCES;
+}
+
+/* Holds ERROR back until the statements behind it are answered.  Returns false
+   if too many were needed.  */
+static bool
 hold_error (struct backend_conn *conn, const struct answer *error)
 {
+  uint32_t count = needed_fences (conn, error);
+  if (conn->holds_error || count > BACKEND_FENCES_LIMIT
+      || conn->pending_count + count >= PENDING_LIMIT)
+    return false;
   free (conn->held_text);
   conn->held_text = mem_strdup (error->text);
   conn->held = *error;
@@ -280,7 +308,11 @@
   conn->fence_state = error->state;
   metrics_increment (kernel_metrics (conn->backend->options.kernel),
                      "answers_held_total");
-  send_fences (conn);
+  if (error->state == TX_FAILED && conn->pending_count == 1)
+    conn_send (conn, STEP_FENCE, &(struct statement){ .kind = STMT_ROLLBACK },
+               NULL);
+  send_fences (conn, count);
+  return true;
 }
 
 /* Passes on the error that was held back: all statements behind it are
@@ -308,9 +340,10 @@
                                     .position = pending->position };
   if (answer->signature != NULL)
     return false;
+  bool older = answer_check_is_older (&conn->check, answer);
   enum answer_verdict verdict = answer_check_match (
       &conn->check, &awaited, answer, backend_now (conn->backend));
-  if (verdict == ANSWER_OWN && answer->code == CODE_OK)
+  if (verdict == ANSWER_OWN && answer->code == CODE_OK && !older)
     {
       conn->fenced++;
       conn->fence_state = answer->state;
@@ -318,7 +351,7 @@
         pass_held_error (conn);
       return true;
     }
-  log_unmatched (conn, pending, answer);
+  note_unmatched (conn, pending, answer);
   if (!answer->is_greeting)
     close_distrusted (conn);
   return true;
@@ -329,7 +362,7 @@
 handle_unawaited (struct backend_conn *conn, const struct answer *answer)
 {
   bool harmless = answer_check_is_harmless (&conn->check, conn->state, answer);
-  log_unmatched (conn, NULL, answer);
+  note_unmatched (conn, NULL, answer);
   if (conn->user == NULL || !harmless)
     close_distrusted (conn);
 }
@@ -346,7 +379,7 @@
   conn->check.distrusted = true;
   if (conn->user == NULL)
     {
-      log_unmatched (conn, NULL, NULL);
+      note_unmatched (conn, NULL, NULL);
       close_distrusted (conn);
     }
 }
@@ -378,15 +411,16 @@
       pass_answer (conn, &pending, answer, answer->state);
       return;
     case ANSWER_DOUBTFUL:
-      hold_error (conn, answer);
-      return;
+      if (hold_error (conn, answer))
+        return;
+      break;
     case ANSWER_FOREIGN:
-      log_unmatched (conn, &pending, answer);
+      note_unmatched (conn, &pending, answer);
       return;
     case ANSWER_UNFIT:
       break;
     }
-  log_unmatched (conn, &pending, answer);
+  note_unmatched (conn, &pending, answer);
   /* If the log went back, the next connections know it as it is now.  */
   if (answer->has_position)
     backend->position = answer->position;
@@ -567,6 +601,16 @@
              NULL);
 }
 
+/* Sends more statements behind COUNT ones of a set-up, so that all of these
+   are answered before the user's is sent, though answers come twice.  */
+static void
+fence_set_up (struct backend_conn *conn, uint32_t count)
+{
+  count += answer_check_fences (&conn->check, conn->state) - 1;
+  send_fences (conn,
+               count < BACKEND_FENCES_LIMIT ? count : BACKEND_FENCES_LIMIT);
+}
+
 bool
 conn_set_up (struct backend_conn *conn, const struct values *values,
              enum stmt_kind kind, const char *shape)
@@ -581,6 +625,8 @@
     }
   if (shape != NULL && statement_number (conn, kind, shape) == 0)
     prepare_statement (conn, values, kind, shape);
+  if (conn->pending_count > before && stutters (conn->backend))
+    fence_set_up (conn, conn->pending_count - before);
   return conn->pending_count > before;
 }
 
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -101,6 +101,7 @@
   clk_ms refused_ms;      /* time of the last CODE_TOOMANY */
   uint32_t refused_count; /* connections open then */
   struct position position;
+  clk_ms unmatched_ms; /* time of the last answer to no statement */
   clk_ms last_answer_ms;
   bool has_answered;
   clk_ms connect_failed_since_ms; /* CLK_NEVER: not failed */
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -132,6 +132,8 @@
   uint32_t lost_percent;     /* of the answers to executed statements */
   uint32_t repeated_percent; /* of all answers, which are sent twice */
   clk_ms repeat_ms;          /* upper limit of the second one's delay */
+  bool refuses_values;       /* answers SET with CODE_FAILED */
+  bool repeat_in_order;      /* all of them are delayed by REPEAT_MS */
   uint64_t repeated;         /* answers sent twice so far */
   uint64_t runs;             /* statements executed so far */
 };
--- a/tests/fleet/fleet_instance.c
+++ b/tests/fleet/fleet_instance.c
@@ -219,12 +219,12 @@
     repeat->answer.body = repeat->body;
   if (repeat->answer.signature != NULL)
     repeat->answer.signature = repeat->signature;
+  clk_ms delay_ms = instance->repeat_ms;
   instance->repeated++;
   link->steps++;
-  fleet_schedule (
-      link->fleet,
-      (clk_ms)rng_below (&link->fleet->rng, (uint64_t)instance->repeat_ms + 1),
-      deliver_repeat, repeat);
+  if (!instance->repeat_in_order)
+    delay_ms = (clk_ms)rng_below (&link->fleet->rng, (uint64_t)delay_ms + 1);
+  fleet_schedule (link->fleet, delay_ms, deliver_repeat, repeat);
 }
 
 static void
@@ -651,6 +651,11 @@
       link->prepared_count = 0;
       break;
     case STMT_SET:
+      if (link->instance->refuses_values)
+        {
+          fail (link, CODE_FAILED);
+          break;
+        }
       values_set (&link->values, sent->name, sent->rest);
       break;
     case STMT_PREPARE_READ:
--- a/tests/unit/test_answer_check.c
+++ b/tests/unit/test_answer_check.c
@@ -135,7 +135,7 @@
   ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_OWN);
   ck_assert_int_eq (match_busy (STMT_WRITE, 101), ANSWER_OWN);
   ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_DOUBTFUL);
-  ck_assert_int_eq (match_busy (STMT_SET, 100), ANSWER_OWN);
+  ck_assert_int_eq (match_busy (STMT_SET, 100), ANSWER_DOUBTFUL);
   now_ms += ANSWER_CHECK_KEEP_MS;
   ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_OWN);
 }
@@ -193,4 +193,33 @@
   answer_check_clear (&check);
 }
 
+/* Guards against MIXED: the ring began anew as its first signature was old,
+   and the later ones, of a burst, were overwritten within milliseconds.  */
+UNIT_PLAIN (test_signatures_of_a_burst_after_a_pause_are_remembered)
+{
+  char signature[16];
+  for (int i = 0; i < 64; i++)
+    {
+      now_ms += i == 1 ? ANSWER_CHECK_KEEP_MS : 1;
+      snprintf (signature, sizeof signature, "%d", i);
+      ck_assert_int_eq (match_signature (STMT_READ, signature), ANSWER_OWN);
+    }
+  ck_assert_int_eq (match_signature (STMT_READ, "31"), ANSWER_FOREIGN);
+  answer_check_clear (&check);
+}
+
+/* Guards against REFUSED: an error that came twice moved the mark of the
+   forgotten ones back.  */
+UNIT_PLAIN (test_a_forgotten_error_is_doubtful_after_an_older_one_came_twice)
+{
+  check = (struct answer_check){ 0 };
+  now_ms += 2 * ANSWER_CHECK_KEEP_MS;
+  ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_OWN);
+  ck_assert_int_eq (match_busy (STMT_WRITE, 105), ANSWER_OWN);
+  ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_DOUBTFUL);
+  for (uint64_t lsn = 110; lsn < 118; lsn++)
+    ck_assert_int_eq (match_busy (STMT_WRITE, lsn), ANSWER_OWN);
+  ck_assert_int_eq (match_busy (STMT_WRITE, 105), ANSWER_DOUBTFUL);
+}
+
 UNIT_MAIN ("answer_check")
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -832,9 +832,12 @@
     }
 }
 
+/* Runs a schedule.  If IN_ORDER, most answers come again, and as late as one
+   another.  */
 static void
-run_stutter (uint64_t seed)
+run_repeats (uint64_t seed, bool in_order)
 {
+  static const clk_ms in_order_ms[] = { 3, 5, 10, 15, 20, 25, 40, 57 };
   bool few = seed % 2 != 0;
   struct schedule s = { .fleet = few ? fleet_new_limited (seed, LIMITED_HOSTS,
                                                           LIMITED_CONNECTIONS)
@@ -845,6 +848,13 @@
   for (int round = 0; round < STUTTER_ROUNDS; round++)
     {
       set_stutter (&s, true);
+      for (size_t i = 0; in_order && i < FLEET_INSTANCES; i++)
+        {
+          struct fleet_instance *instance = fleet_instance (s.fleet, i);
+          instance->repeat_in_order = true;
+          instance->repeated_percent = 30 + (uint32_t)below (&s, 8) * 10;
+          instance->repeat_ms = in_order_ms[below (&s, 8)];
+        }
       run_callers (&s, 1000, STEP_MS);
       inject_instance_fault (&s);
       run_callers (&s, 500, STEP_MS);
@@ -858,6 +868,18 @@
   fleet_free (s.fleet);
 }
 
+static void
+run_stutter (uint64_t seed)
+{
+  run_repeats (seed, false);
+}
+
+static void
+run_stutter_in_order (uint64_t seed)
+{
+  run_repeats (seed, true);
+}
+
 /* Seeds that failed, with the cause.  */
 static const uint64_t regressions[] = {
   612, /* the oracle treated a refused SET as acknowledged */
@@ -995,6 +1017,13 @@
   run_seeds (STUTTER_SEEDS, STUTTER_LENGTH, run_stutter);
 }
 
+/* Guards against REFUSED, TWICE and MIXED: the answers to the statements behind
+   a refusal came twice, like the refusal.  */
+UNIT_PLAIN (test_answers_that_come_twice_in_order_answer_no_other_statement)
+{
+  run_seeds (STUTTER_SEEDS, STUTTER_LENGTH, run_stutter_in_order);
+}
+
 #ifdef MUTANTS
 static int
 select_mutant (void)
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -196,6 +196,136 @@
   ck_assert_uint_eq (primary->opened, opened);
 }
 
+/* Guards against REFUSED and TWICE: a refusal came twice, and so did the
+   answers to the statements behind it.  */
+UNIT_TEST (test_a_refusal_that_comes_twice_with_all_behind_it_refuses_nothing)
+{
+  struct fleet_instance *primary = fleet_instance (fleet, 0);
+  primary->repeated_percent = 100;
+  primary->repeat_ms = 20;
+  primary->repeat_in_order = true;
+  for (int i = 0; i < 100; i++)
+    {
+      struct fleet_caller *caller
+          = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+      run (caller, STMT_BEGIN, NULL, NULL);
+      run (caller, STMT_WRITE, "a 1", NULL);
+      primary->busy_percent = 100;
+      fleet_caller_send (caller, STMT_COMMIT, NULL, NULL);
+      fleet_run (fleet, 18);
+      primary->busy_percent = 0;
+      fleet_run (fleet, 300);
+      fleet_caller_close (caller);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%d: %s", i,
+                     fleet_violation (fleet));
+    }
+}
+
+/* Guards against statements that are never sent: the answer of a statement
+   came while a refusal was held back, and the next one awaited the statements
+   behind it for ever.  */
+UNIT_TEST (test_a_statement_is_sent_after_a_refusal_that_was_not_its_own)
+{
+  struct fleet_instance *primary = fleet_instance (fleet, 0);
+  struct fleet_caller *caller
+      = fleet_caller_open (fleet_host (fleet, 0), FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *writer
+      = fleet_caller_open (fleet_host (fleet, 1), FLEET_DATABASE_PRIMARY);
+  primary->repeat_ms = 60;
+  primary->repeat_in_order = true;
+  for (int i = 0; i < 60; i++)
+    {
+      run (writer, STMT_WRITE, "b 1", NULL);
+      run (caller, STMT_BEGIN, NULL, NULL);
+      run (caller, STMT_READ, "a", NULL);
+      primary->busy_percent = primary->repeated_percent = 100;
+      fleet_caller_send (caller, STMT_COMMIT, NULL, NULL);
+      uint64_t repeated = primary->repeated;
+      while (primary->repeated == repeated)
+        fleet_run (fleet, 1);
+      primary->busy_percent = primary->repeated_percent = 0;
+      for (int j = 0; j < ANSWER_MS && fleet_caller_waits (caller); j++)
+        fleet_run (fleet, 1);
+      run (caller, STMT_BEGIN, NULL, NULL);
+      for (int j = 0; j < 12; j++)
+        {
+          ck_assert_int_eq (run (caller, STMT_READ, "a", NULL), CODE_OK);
+          ck_assert_int_lt (fleet_caller_took_ms (caller), 200);
+        }
+      run (caller, STMT_ROLLBACK, NULL, NULL);
+      fleet_run (fleet, 100);
+    }
+}
+
+/* Guards against PINNED: an answer to a SET came twice and was taken for that
+   to the next RESET, so that a statement was sent before its own SET was
+   answered, which was refused.  */
+UNIT_TEST (test_a_statement_awaits_the_answers_to_all_of_its_values)
+{
+  struct fleet_instance *primary = fleet_instance (fleet, 0);
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *a = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *b = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  run (a, STMT_SET, "lang", "sw");
+  run (b, STMT_SET, "lang", "en");
+  primary->repeat_ms = 40;
+  primary->repeat_in_order = true;
+  for (int i = 0; i < 80; i++)
+    {
+      run (b, STMT_WRITE, "a 1", NULL);
+      fleet_caller_send (a, STMT_WRITE, "a 1", NULL);
+      uint64_t repeated = primary->repeated;
+      primary->repeated_percent = 100;
+      while (primary->repeated < repeated + 2)
+        fleet_run (fleet, 1);
+      primary->repeated_percent = 0;
+      fleet_run (fleet, 16 + i % 24);
+      primary->refuses_values = true;
+      fleet_caller_send (b, STMT_WRITE, "a 2", NULL);
+      fleet_run (fleet, 60);
+      primary->refuses_values = false;
+      fleet_run (fleet, 1500);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%d: %s", i,
+                     fleet_violation (fleet));
+    }
+}
+
+/* Guards against PINNED and INDOUBT: a refusal that came twice was taken for
+   that of a BEGIN, and the connection was reused with the transaction open. */
+UNIT_TEST (test_a_connection_is_not_reused_after_a_begin_with_a_doubtful_error)
+{
+  struct fleet_instance *primary = fleet_instance (fleet, 0);
+  struct fleet_host *host = fleet_host (fleet, 0);
+  struct fleet_caller *b = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  struct fleet_caller *c = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+  primary->repeat_ms = 60;
+  primary->repeat_in_order = true;
+  for (int i = 0; i < 200; i++)
+    {
+      struct fleet_caller *a
+          = fleet_caller_open (host, FLEET_DATABASE_PRIMARY);
+      fleet_caller_send (a, STMT_WRITE, "a 1", NULL);
+      uint64_t repeated = primary->repeated;
+      primary->busy_percent = primary->repeated_percent = 100;
+      while (primary->repeated == repeated)
+        fleet_run (fleet, 1);
+      primary->busy_percent = primary->repeated_percent = 0;
+      fleet_caller_close (a);
+      for (int j = 0; j < 57 + i % 4; j++)
+        fleet_run (fleet, 1);
+      run (b, STMT_BEGIN, NULL, NULL);
+      fleet_caller_send (b, STMT_READ, "a", NULL);
+      for (int j = 0; j < i / 4 % 6; j++)
+        fleet_run (fleet, 1);
+      ck_assert_int_eq (run (c, STMT_WRITE, "a 2", NULL), CODE_OK);
+      fleet_run (fleet, 300);
+      ck_assert (!fleet_caller_waits (b));
+      run (b, STMT_ROLLBACK, NULL, NULL);
+      ck_assert_msg (fleet_violation (fleet) == NULL, "%d: %s", i,
+                     fleet_violation (fleet));
+    }
+}
+
 UNIT_TEST (test_a_write_whose_answer_is_lost_is_not_reported_as_refused)
 {
   struct fleet_caller *caller
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -24,7 +24,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define UNIT_TESTS 64 /* limit on the tests of a program */
+#define UNIT_TESTS 80 /* limit on the tests of a program */
 
 struct unit_options
 {
