--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -719,6 +719,26 @@
   close_repeating_service (&service);
 }
 
+/* Guards against MIXED: as above, where it comes while the connection is
+   idle.  */
+UNIT_TEST (test_a_response_on_an_idle_connection_answers_no_call)
+{
+  struct repeating_service service;
+  open_repeating_service (&service, true);
+  ck_assert_int_eq (read_key (PLATFORM_GET, "a/x"), PLATFORM_OK);
+  bufferevent_write (service.conns[0], service.first, strlen (service.first));
+  for (int i = 0; i < 10; i++)
+    {
+      event_base_loop (base, EVLOOP_NONBLOCK);
+      usleep (1000);
+    }
+  service.late = false;
+  ck_assert_int_eq (read_key (PLATFORM_GET, "b/x"), PLATFORM_OK);
+  ck_assert_str_eq (got.key, "b/x");
+  ck_assert_int_eq (service.connections, 2);
+  close_repeating_service (&service);
+}
+
 /* Guards against MIXED: as above, where it comes when the next request has
    been sent.  */
 UNIT_TEST (test_a_late_second_response_is_no_answer_to_another_key)
