Count also unsigned answers that belonged to no statement

Callers could still be told that a write had been refused though it was committed (REFUSED, TWICE), where most answers come twice and all as late as one another. Cause: an answer that was skipped, or at an earlier position than the last one, was not counted, or began the count anew; it may come again all the same.

--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -181,19 +181,22 @@
   return ANSWER_OWN;
 }
 
+/* Counts ANSWER, an unsigned success, whichever statement it belongs to: it
+   may come again.  */
 static void
 count_unsigned (struct answer_check *check, const struct answer *answer)
 {
   struct position position = position_of (answer);
-  if (position_compare (position, check->position) != 0)
-    memset (check->counts, 0, sizeof check->counts);
-  check->position = position;
+  if (position_compare (position, check->position) > 0)
+    {
+      memset (check->counts, 0, sizeof check->counts);
+      check->position = position;
+    }
   check->counts[answer->state]++;
 }
 
 static enum answer_verdict
-match_unsigned (struct answer_check *check,
-                const struct answer_awaited *awaited,
+match_unsigned (const struct answer_awaited *awaited,
                 const struct answer *answer)
 {
   if (answer->is_greeting || is_signed_kind (awaited->kind))
@@ -205,7 +208,6 @@
   if (awaited->kind == STMT_BEGIN && answer->has_position
       && position_compare (answer->position, awaited->position) < 0)
     return ANSWER_UNFIT;
-  count_unsigned (check, answer);
   return ANSWER_OWN;
 }
 
@@ -222,7 +224,10 @@
   else if (answer->signature != NULL)
     verdict = match_signed (check, awaited, answer, now_ms);
   else
-    verdict = match_unsigned (check, awaited, answer);
+    {
+      verdict = match_unsigned (awaited, answer);
+      count_unsigned (check, answer);
+    }
   if (verdict == ANSWER_FOREIGN || verdict == ANSWER_UNFIT)
     check->distrusted = true;
   return verdict;
@@ -250,6 +255,8 @@
     return false;
   if (answer->is_greeting)
     return true;
+  if (answer->signature == NULL)
+    count_unsigned (check, answer);
   if (answer->signature != NULL)
     return is_known (check, hash_text (answer->signature, 0));
   return !answer->has_rows && answer->state == state;
--- a/src/proxy/answer_check.h
+++ b/src/proxy/answer_check.h
@@ -73,7 +73,7 @@
   struct answer_error errors[ANSWER_CHECK_ERRORS]; /* a ring */
   size_t next_error;
   struct answer_error forgotten;  /* the latest of those overwritten */
-  struct position position;       /* of the last unsigned success */
+  struct position position;       /* of unsigned successes, the latest */
   uint32_t counts[TX_FAILED + 1]; /* of them there, by state */
   bool distrusted;                /* an answer was not the statement's own */
 };
