A relay keeps its followers while it hears from the store

Cause: a relay told its followers that it does not reach the store as soon as one of its calls had no answer for 700 ms. The renewal of its lease waits behind large responses on the link that a region shares, so all relays of the region said so at the same moment, though their contents were current. Their followers then used the store for at least four seconds, and for as long again as a watch waits. The class: an answer that takes long counts as none, and work is begun again by many at the same moment. Change: the relay must have heard nothing from the store for 700 ms, parts of a response included; while it has, it asks by a watch that does not wait. A second relay goes by what the first one tells. A watch is not replaced while its response arrives when the store accepts calls again. A relay that answers without reaching the store is asked again after a second, and the follower's watch of the store ends by then. Result: before, test_relays_that_receive_a_change_keep_their_followers failed with 'count_watching () == 42, 3 + 1 == 4', and so did test_hosts_return_soon_to_relays_that_reach_the_store_again; both pass. A relay that is cut off is given up within 1.5 s, as before (test_hosts_stop_using_a_relay_that_cannot_reach_the_store).

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -62,6 +62,8 @@
   bool listed_twice;      /* in START_HOSTS, or not to be listed again */
   clk_ms follow_until_ms; /* end of START_RELAY */
   bool store_reachable;
+  clk_ms store_heard_ms;
+  size_t heard_bytes; /* of the response to the call in flight, at that time */
   uint32_t failures;
   uint64_t call;
   struct ktimer next_call_timer;
@@ -519,6 +521,7 @@
       return;
     }
   mirror->failures = 0;
+  mirror->store_heard_ms = kernel_now (mirror->base.kernel);
   set_store_reachable (mirror, true);
   if (lists_first (mirror))
     {
@@ -603,6 +606,7 @@
           .reason = reasons[status],
           .spent_ms = kernel_now (mirror->base.kernel) - mirror->sent_ms,
           .received_bytes = hosts_received (mirror->hosts, id),
+          .answered = followed != NULL,
           .revision = mirror->revision };
   if (followed != NULL)
     {
@@ -799,13 +803,16 @@
 }
 
 /* Returns how long the next watch may wait: until the contents must be
-   confirmed again.  After a failure a short watch shows early whether the
-   store answers.  */
+   confirmed again, or a relay that failed may be asked again.  After a failure
+   a short watch shows early whether the store answers.  */
 static clk_ms
 watch_wait_ms (const struct mirror *mirror)
 {
   clk_ms now_ms = kernel_now (mirror->base.kernel);
   clk_ms due_ms = confirm_due_ms (mirror);
+  clk_ms retry_ms = relay_retry_ms (mirror->relay);
+  if (!mirror->immediate && retry_ms < due_ms)
+    due_ms = retry_ms;
   return mirror->failures > 0 || mirror->checks || due_ms <= now_ms
              ? 1
              : due_ms - now_ms;
@@ -836,6 +843,7 @@
   mirror->checks = false;
   mirror->wait_ms = call.wait_ms;
   mirror->seen_bytes = 0;
+  mirror->heard_bytes = 0;
   if (!mirror->listing && mirror->failures == 0)
     call.timeout_ms = MIRROR_WATCH_MARGIN_MS;
   mirror->call
@@ -898,8 +906,32 @@
   return true;
 }
 
-void
-mirror_restart_watch (struct mirror *mirror)
+/* Returns the number of bytes of the store's response to the call in flight
+   received so far.  */
+static size_t
+received_bytes (const struct mirror *mirror)
+{
+  const struct platform_port_ops *ops = mirror->port->ops;
+  if (mirror->call == 0 || mirror_follows_relay (mirror)
+      || ops->received == NULL)
+    return 0;
+  return ops->received (mirror->port, mirror->call);
+}
+
+clk_ms
+mirror_store_heard_ms (struct mirror *mirror)
+{
+  size_t bytes = received_bytes (mirror);
+  if (bytes > mirror->heard_bytes)
+    {
+      mirror->heard_bytes = bytes;
+      mirror->store_heard_ms = kernel_now (mirror->base.kernel);
+    }
+  return mirror->store_heard_ms;
+}
+
+static void
+replace_watch (struct mirror *mirror)
 {
   if (!is_watching (mirror))
     return;
@@ -908,13 +940,11 @@
   next_call (mirror);
 }
 
-/* Returns the number of bytes of the response to the watch received so far. */
-static size_t
-received_bytes (const struct mirror *mirror)
+void
+mirror_restart_watch (struct mirror *mirror)
 {
-  const struct platform_port_ops *ops = mirror->port->ops;
-  return ops->received != NULL ? ops->received (mirror->port, mirror->call)
-                               : 0;
+  if (received_bytes (mirror) == 0)
+    replace_watch (mirror);
 }
 
 /* Fires TIMER, the check of an overdue watch, again later if a part of the
@@ -943,7 +973,7 @@
              LOG_U ("revision", platform_index_revision (mirror->revision)),
              LOG_U ("expected", platform_index_revision (mirror->expected)),
              LOG_U ("received_bytes", received_bytes (mirror)));
-  mirror_restart_watch (mirror);
+  replace_watch (mirror);
 }
 
 void
@@ -968,7 +998,7 @@
              LOG_U ("revision", platform_index_revision (mirror->revision)),
              LOG_U ("heard", platform_index_revision (mirror->peer_revision)),
              LOG_U ("received_bytes", received_bytes (mirror)));
-  mirror_restart_watch (mirror);
+  replace_watch (mirror);
 }
 
 void
@@ -1024,6 +1054,7 @@
   mirror_age_init (&mirror->age);
   mirror->current_ms = CLK_LONG_AGO;
   mirror->restored_ms = CLK_LONG_AGO;
+  mirror->store_heard_ms = CLK_LONG_AGO;
   mirror->next_call_timer.fire = on_next_call_timer;
   mirror->next_call_timer.arg = mirror;
   mirror->expect_timer
--- a/src/proxy/mirror.h
+++ b/src/proxy/mirror.h
@@ -203,14 +203,19 @@
    was. Subscribers are told when the changes have been applied.  */
 bool mirror_check_now (struct mirror *mirror);
 
-/* Replaces the watch, which may have been lost, by one that does not wait.  If
-   it fails too, the store counts as unreachable.  */
+/* Replaces the watch, which may have been lost, by one that does not wait,
+   unless its response is arriving.  If it fails too, the store counts as
+   unreachable.  */
 void mirror_restart_watch (struct mirror *mirror);
 
 /* Lists all keys again; if called by a subscriber, once the present reply has
    been delivered.  */
 void mirror_restart_list (struct mirror *mirror);
 
+/* Returns the time at which a response of the store, or a part of one, was
+   last seen to have arrived at the mirror.  */
+clk_ms mirror_store_heard_ms (struct mirror *mirror);
+
 /* Returns whether a full listing has been applied.  */
 bool mirror_complete (const struct mirror *mirror);
 
--- a/src/proxy/relay.c
+++ b/src/proxy/relay.c
@@ -52,6 +52,7 @@
   struct mirror *mirror;
   uint32_t capacity;
   bool store_refuses;
+  struct ktimer refused_timer;
   bool detached; /* the last reply told that the store is not reached */
   bool active;   /* this host is a relay */
   bool keeps;    /* it keeps the contents */
@@ -202,6 +203,21 @@
   return NULL;
 }
 
+clk_ms
+relay_retry_ms (const struct relay *relay)
+{
+  clk_ms now_ms = kernel_now (relay->base.kernel), retry_ms = CLK_NEVER;
+  for (size_t s = 0; relay->follows && s < relay->source_count; s++)
+    for (size_t i = 0; i < RELAY_HOSTS; i++)
+      {
+        const struct failed_relay *failed = &relay->failed[i];
+        if (failed->until_ms > now_ms && failed->until_ms < retry_ms
+            && strcmp (failed->host, relay->sources[s]->address.name) == 0)
+          retry_ms = failed->until_ms;
+      }
+  return retry_ms;
+}
+
 bool
 relay_serves (const struct relay *relay)
 {
@@ -215,7 +231,9 @@
   struct failed_relay *failed = &relay->failed[relay->next_failed];
   relay->next_failed = (relay->next_failed + 1) % RELAY_HOSTS;
   text_copy (failed->host, sizeof failed->host, failure->host);
-  failed->until_ms = kernel_now (kernel) + RELAY_FAILED_MS;
+  failed->until_ms
+      = kernel_now (kernel)
+        + (failure->answered ? RELAY_DETACHED_MS : RELAY_FAILED_MS);
   log_event (kernel_log (kernel), LOG_INFO, "relay_failed",
              LOG_S ("host", failure->host), LOG_S ("why", failure->reason),
              LOG_I ("spent_ms", failure->spent_ms),
@@ -375,6 +393,16 @@
     }
 }
 
+/* Returns whether the store refuses the calls of this host, and has not been
+   heard lately either.  What follows another relay depends on that one.  */
+static bool
+is_refused (const struct relay *relay)
+{
+  return relay->store_refuses && !mirror_follows_relay (relay->mirror)
+         && kernel_now (relay->base.kernel)
+                >= mirror_store_heard_ms (relay->mirror) + RELAY_SILENT_MS;
+}
+
 /* Returns why this host does not reach the store; NULL if it does.  */
 static const char *
 detached_reason (const struct relay *relay)
@@ -383,7 +411,7 @@
     return "store unreachable";
   if (!mirror_current (relay->mirror))
     return "contents not confirmed";
-  return relay->store_refuses ? "store refuses calls" : NULL;
+  return is_refused (relay) ? "store refuses calls" : NULL;
 }
 
 static bool
@@ -506,11 +534,34 @@
     end_follow_call (relay->follow_calls);
 }
 
+/* Ends the waiting calls if the store refuses this host, else asks the store
+   again until it accepts calls.  */
+static void
+check_refused (void *arg)
+{
+  struct relay *relay = arg;
+  struct kernel *kernel = relay->base.kernel;
+  clk_ms now_ms = kernel_now (kernel);
+  if (is_refused (relay))
+    {
+      on_reachable_changed (relay, false);
+      return;
+    }
+  if (!relay->store_refuses || !relay->active)
+    return;
+  if (!mirror_check_now (relay->mirror))
+    mirror_restart_watch (relay->mirror);
+  clk_ms due_ms = mirror_store_heard_ms (relay->mirror) + RELAY_SILENT_MS;
+  kernel_timer_set (kernel, &relay->refused_timer,
+                    due_ms > now_ms ? due_ms : now_ms + RELAY_SILENT_MS);
+}
+
 void
 relay_store_refuses (struct relay *relay, bool refuses)
 {
   relay->store_refuses = refuses;
-  on_reachable_changed (relay, !refuses);
+  kernel_timer_cancel (relay->base.kernel, &relay->refused_timer);
+  check_refused (relay);
 }
 
 static void
@@ -625,6 +676,8 @@
   relay->started_ms = kernel_now (module->kernel);
   relay->decide_timer
       = (struct ktimer){ .fire = on_decide_timer, .arg = relay };
+  relay->refused_timer
+      = (struct ktimer){ .fire = check_refused, .arg = relay };
   drop_contents (relay);
   hosts_handle (relay->hosts, PEER_KIND_FOLLOW, on_follow, relay);
   hosts_handle (relay->hosts, PEER_KIND_FOLLOW_DATED, on_follow, relay);
@@ -636,6 +689,7 @@
   struct relay *relay = (struct relay *)module;
   relay->complete = false;
   kernel_timer_cancel (module->kernel, &relay->decide_timer);
+  kernel_timer_cancel (module->kernel, &relay->refused_timer);
   while (relay->follow_calls != NULL)
     end_follow_call (relay->follow_calls);
   clear_items (relay);
--- a/src/proxy/relay.h
+++ b/src/proxy/relay.h
@@ -34,8 +34,14 @@
    until it has read the registrations of the others, which may start too.  */
 #define RELAY_UNDECIDED_MS 5000
 
-/* How long a relay that failed is not used.  */
+/* How long a relay that failed is not used, and one that answered but does not
+   reach the store.  */
 #define RELAY_FAILED_MS 4000
+#define RELAY_DETACHED_MS 1000
+
+/* A relay that hears nothing from the store for this time, while the store
+   refuses its calls, does not reach it.  */
+#define RELAY_SILENT_MS 700
 
 /* Maximum number of removed keys that a relay keeps.  With more it drops them
    all.  A host that may have missed one, or has read the store before the
@@ -64,13 +70,18 @@
 /* Returns the relay that this host should follow, or NULL for the store.  */
 const struct other_host *relay_source (const struct relay *relay);
 
+/* Returns the time at which a relay of this host that failed may be used
+   again; CLK_NEVER if none has.  */
+clk_ms relay_retry_ms (const struct relay *relay);
+
 /* Returns the other hosts that follow the store itself.  The array is valid
    until the list of hosts changes.  */
 const struct other_host *const *relay_watchers (const struct relay *relay,
                                                 size_t *count);
 
-/* Sets whether the store refuses calls of this host, which a pending watch
-   does not reveal.  */
+/* Sets whether the store refuses calls of this host, or does not answer them,
+   which a pending watch does not reveal.  A call may also have waited behind
+   the response to a watch: that does not count.  */
 void relay_store_refuses (struct relay *relay, bool refuses);
 
 /* A relay that did not answer or does not reach the store.  */
@@ -78,6 +89,7 @@
 {
   const char *host;
   const char *reason;
+  bool answered;           /* it does not reach the store */
   clk_ms spent_ms;         /* on the call */
   size_t received_bytes;   /* of the reply */
   uint64_t revision;       /* of this host's contents */
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -126,10 +126,10 @@
   clk_ms slow_ms;           /* upper limit of additional execution time */
   uint32_t connections;
   uint32_t max_connections;
-  uint64_t opened;       /* connections so far */
-  uint64_t refused;      /* connections above max_connections */
-  uint32_t busy_percent; /* of the statements, answered with CODE_BUSY */
-  uint32_t lost_percent; /* of the answers to executed statements */
+  uint64_t opened;           /* connections so far */
+  uint64_t refused;          /* connections above max_connections */
+  uint32_t busy_percent;     /* of the statements, answered with CODE_BUSY */
+  uint32_t lost_percent;     /* of the answers to executed statements */
   uint32_t repeated_percent; /* of all answers, which are sent twice */
   clk_ms repeat_ms;          /* upper limit of the second one's delay */
   uint64_t repeated;         /* answers sent twice so far */
@@ -158,6 +158,7 @@
   clk_ms frozen_until_ms;    /* runs nothing before */
   bool store_cut;            /* can't reach the store */
   bool watches_lost;         /* the store answers none of them */
+  bool renewals_lost;        /* the same for leases */
   clk_ms config_transfer_ms; /* to receive a configuration from the store */
   bool instances_cut[FLEET_INSTANCES]; /* can't reach an instance */
   struct instance_port instances;
--- a/tests/fleet/fleet_store.c
+++ b/tests/fleet/fleet_store.c
@@ -738,6 +738,9 @@
   if (call->host != NULL && call->host->watches_lost
       && call->call.kind == PLATFORM_WATCH)
     return true;
+  if (call->host != NULL && call->host->renewals_lost
+      && call->call.kind == PLATFORM_RENEW)
+    return true;
   return store->lost_percent > 0
          && rng_below (&store->fleet->rng, 100) < store->lost_percent;
 }
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -24,6 +24,19 @@
   return relay_serves ((struct relay *)kernel_find (host->kernel, "relay"));
 }
 
+/* Replaces the fleet by one of FLEET_HOSTS hosts in failure domains with
+   relays.  */
+static void
+use_large_fleet (void)
+{
+  fleet_free (fleet);
+  fleet = fleet_new_with (
+      7, FLEET_HOSTS,
+      &(struct fleet_options){ .connections = FLEET_CONNECTIONS,
+                               .zones = FLEET_ZONES });
+  fleet_run (fleet, SETTLE_MS);
+}
+
 /* Replaces the fleet by one of HOSTS hosts in ZONES failure domains that keep
    the age of their contents below AGE_MS.  */
 static void
@@ -432,6 +445,44 @@
           fleet->config_version);
 }
 
+/* Guards against the loss of all followers of a region at once: the renewals
+   of their relays' leases got no answer in time while the relays received a
+   change.  */
+UNIT_TEST (test_relays_that_receive_a_change_keep_their_followers)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    {
+      fleet_host (fleet, i)->renewals_lost = is_relay (i);
+      fleet_host (fleet, i)->config_transfer_ms = 600;
+    }
+  fleet_run (fleet, 500);
+  fleet_change_config (fleet);
+  for (clk_ms span_ms = 500; span_ms < 3000; span_ms += 50)
+    {
+      if (span_ms == 1400)
+        for (size_t i = 0; i < FLEET_HOSTS; i++)
+          fleet_host (fleet, i)->renewals_lost = false;
+      ck_assert_uint_le (count_watching (), FLEET_ZONES + 1);
+      fleet_run (fleet, 50);
+    }
+}
+
+/* Guards against followers that receive the next change from the store, each
+   for itself, though their relays reach it again.  */
+UNIT_TEST (test_hosts_return_soon_to_relays_that_reach_the_store_again)
+{
+  use_large_fleet ();
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->store_cut = is_relay (i);
+  fleet_run (fleet, 1500);
+  ck_assert_uint_gt (count_watching (), FLEET_HOSTS / 2);
+  for (size_t i = 0; i < FLEET_HOSTS; i++)
+    fleet_host (fleet, i)->store_cut = false;
+  fleet_run (fleet, 2000);
+  ck_assert_uint_le (count_watching (), FLEET_ZONES + 1);
+}
+
 /* Guards against a store that all hosts ask at once: each claimed the duty,
    and each relay listed the store twice.  */
 UNIT_TEST (test_a_fleet_that_starts_makes_few_calls)
