The timeout of a call begins with the call

Cause: libevent counts a new timer from the time at which its loop woke up last. A host that had put a change of a megabyte in force, on 0.12 of a processor, then asked its relay with a timeout of 900 ms that ended after 600, at the same moment as the relay's reply; and all hosts of the same size did so at once. The class: a span that is measured with two clocks. All timeouts that were set after long work were short by it. Change: the loop of a process reads the clock for each timer. So does that of the tests of both clients. Result: before, test_the_timeout_of_a_call_begins_with_the_call failed with 'pair.status == 3, PEER_OK == 0'; it passes.

--- a/src/cli/event_loop.c
+++ b/src/cli/event_loop.c
@@ -21,6 +21,19 @@
   clk->ops = &boottime_ops;
 }
 
+struct event_base *
+event_loop_base_new (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base = NULL;
+  if (config != NULL
+      && event_config_set_flag (config, EVENT_BASE_FLAG_NO_CACHE_TIME) == 0)
+    base = event_base_new_with_config (config);
+  if (config != NULL)
+    event_config_free (config);
+  return base;
+}
+
 /* Does nothing; the timer only wakes the loop.  */
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
--- a/src/cli/event_loop.h
+++ b/src/cli/event_loop.h
@@ -1,4 +1,8 @@
-/* event_loop - runs the kernel's timers on an event loop of libevent.  */
+/* event_loop - runs the kernel's timers on an event loop of libevent.
+
+   The time of a timer counts from when it is set.  libevent's default is the
+   time at which the loop woke up last, so that a timer that is set after long
+   work in the same iteration fires that much too early.  */
 
 #ifndef SAVORYWAY_CLI_EVENT_LOOP_H
 #define SAVORYWAY_CLI_EVENT_LOOP_H
@@ -11,6 +15,9 @@
    is suspended, since leases expire and samples age during that too.  */
 void event_loop_clock_init (struct clk *clk);
 
+/* Returns NULL if that fails.  */
+struct event_base *event_loop_base_new (void);
+
 /* Returns a timer for event_loop_run_once, to be freed with event_free.  */
 struct event *event_loop_timer_new (struct event_base *base);
 
--- a/src/cli/http_client.c
+++ b/src/cli/http_client.c
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 #include <sodium.h>
 
+#include "cli/event_loop.h"
 #include "kernel/mem.h"
 
 #define DEFAULT_TIMEOUT_MS 30000
@@ -144,7 +145,7 @@
   struct evhttp_connection *connection = NULL;
   memset (response, 0, sizeof *response);
   response->body = mem_strdup ("");
-  exchange.base = event_base_new ();
+  exchange.base = event_loop_base_new ();
   if (exchange.base == NULL)
     goto out;
   connection = evhttp_connection_base_new (exchange.base, NULL,
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -135,7 +135,7 @@
 open_events (struct run *run)
 {
   static const int numbers[] = { SIGTERM, SIGINT };
-  run->base = event_base_new ();
+  run->base = event_loop_base_new ();
   if (run->base == NULL)
     return false;
   run->timer = event_loop_timer_new (run->base);
--- a/tests/unit/test_consul.c
+++ b/tests/unit/test_consul.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include "../standin/standin_spawn.h"
+#include "cli/event_loop.h"
 #include "kernel/mem.h"
 #include "kernel/rng.h"
 #include "port/address.h"
@@ -169,7 +170,7 @@
   signal (SIGPIPE, SIG_IGN);
   standin_spawn (&standin, "platform_standin", argv);
   platform = standin_port (&standin, "port=");
-  base = event_base_new ();
+  base = event_loop_base_new ();
   metrics = metrics_new ();
   port = new_port (platform, 1000);
   memset (&got, 0, sizeof got);
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -8,6 +8,7 @@
 
 #include <event2/buffer.h>
 
+#include "cli/event_loop.h"
 #include "kernel/mem.h"
 #include "port/rpc_port.h"
 #include "unit.h"
@@ -93,7 +94,7 @@
 {
   memset (&pair, 0, sizeof pair);
   rng_init (&pair.rng, 7);
-  pair.base = event_base_new ();
+  pair.base = event_loop_base_new ();
   pair.metrics = metrics_new ();
   pair.a = open_port (secret, 0);
   pair.b = open_port (secret, 0);
@@ -379,6 +380,30 @@
   ck_assert_uint_gt (pair.received_bytes, 0);
 }
 
+/* Calls after the loop was busy with another event.  */
+static void
+call_late (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  usleep (200 * 1000);
+  pair_call (5, 150);
+}
+
+/* Guards against the loss of all relays at once: hosts that had been busy
+   with a large change for 300 ms gave their next calls up so much earlier,
+   before the relays replied.  */
+UNIT_TEST (test_the_timeout_of_a_call_begins_with_the_call)
+{
+  struct timeval soon = { .tv_usec = 1000 };
+  pair_call (1, 2000);
+  pair_wait (1);
+  event_base_once (pair.base, -1, EV_TIMEOUT, call_late, NULL, &soon);
+  pair_wait (2);
+  ck_assert_int_eq (pair.status, PEER_OK);
+}
+
 UNIT_TEST (test_an_unknown_version_is_answered_with_the_known_ones)
 {
   uint8_t data[RECORD_BUFFER_BYTES];
