A second relay stays current after a change

Cause: a relay that follows another one goes by the age of its contents. Meanwhile the second one counted as not current. Change: a relay confirms its contents when their age, rather than their last change, requires it. Price: at most one call more for a change. Result: before, test_relays_stay_current_while_there_are_changes failed; it passes.

--- a/src/proxy/mirror.c
+++ b/src/proxy/mirror.c
@@ -428,14 +428,20 @@
 static clk_ms
 confirm_due_ms (const struct mirror *mirror)
 {
+  bool serves = relay_serves (mirror->relay);
   clk_ms due_ms = mirror->current_ms + mirror->confirm_ms;
-  if (mirror->age_ms == 0)
+  clk_ms span_ms = mirror->confirm_ms;
+  if (mirror->age_ms == 0 && !serves)
     return due_ms;
-  clk_ms span_ms = mirror->age_ms - MIRROR_AGE_MARGIN_MS;
-  if (relay_serves (mirror->relay))
-    span_ms -= follow_wait_ms (mirror);
+  if (mirror->age_ms > 0)
+    span_ms = mirror->age_ms - MIRROR_AGE_MARGIN_MS
+              - (serves ? follow_wait_ms (mirror) : 0);
   if (span_ms < MIRROR_CONFIRM_MIN_MS)
     span_ms = MIRROR_CONFIRM_MIN_MS;
+  /* Another relay goes by the age of what it receives, and a response with
+     events confirms only the time at which its watch was sent.  */
+  if (serves && span_ms > mirror->confirm_ms)
+    span_ms = mirror->confirm_ms;
   clk_ms limit_ms = mirror->age.confirmed_ms + span_ms;
   /* No call confirms anything before then.  */
   if (limit_ms < mirror->age.settled_ms)
@@ -451,7 +457,7 @@
                                                  : MIRROR_WATCH_DELAY_MS;
   if (mirror->eager)
     delay_ms = MIRROR_EAGER_WATCH_DELAY_MS;
-  if (mirror->age_ms == 0)
+  if (mirror->age_ms == 0 && !relay_serves (mirror->relay))
     return delay_ms;
   clk_ms left_ms = confirm_due_ms (mirror) - kernel_now (mirror->base.kernel);
   if (left_ms < 0)
--- a/tests/unit/test_mirror.c
+++ b/tests/unit/test_mirror.c
@@ -468,6 +468,24 @@
     }
 }
 
+/* Guards against the loss of both relays at once: after a change the second
+   one did not count as current for a second and a half.  */
+UNIT_TEST (test_relays_stay_current_while_there_are_changes)
+{
+  use_large_fleet ();
+  for (clk_ms span_ms = 50; span_ms < 6000; span_ms += 50)
+    {
+      fleet_change_config (fleet);
+      for (clk_ms at_ms = 0; at_ms < span_ms; at_ms += 50)
+        {
+          fleet_run (fleet, 50);
+          for (size_t i = 0; i < FLEET_HOSTS; i++)
+            if (is_relay (i))
+              ck_assert (mirror_current (fleet_host (fleet, i)->mirror));
+        }
+    }
+}
+
 /* Guards against followers that receive the next change from the store, each
    for itself, though their relays reach it again.  */
 UNIT_TEST (test_hosts_return_soon_to_relays_that_reach_the_store_again)
