Send only words when a connection is opened

A connection to an instance could have begun with a message of other fields, had a name been let through that is no word; the names of the store, of operators, of settings and since the check of forwarded statements also of other hosts are checked where they enter, so no such message was seen.

--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -173,6 +173,18 @@
     }
 }
 
+UNIT_PLAIN (test_only_words_are_sent_when_a_connection_is_opened)
+{
+  struct evbuffer *out = evbuffer_new ();
+  ck_assert (!wire_put_startup (out, "s\r\nQUERY f0", "ws-1", "i-1"));
+  ck_assert (!wire_put_startup (out, "s", "ws 1", "i-1"));
+  ck_assert (!wire_put_startup (out, "s", "", "i-1"));
+  ck_assert (!wire_put_startup (out, "s", "ws-1", NULL));
+  ck_assert_uint_eq (evbuffer_get_length (out), 0);
+  ck_assert (wire_put_startup (out, "s", "ws-1", "i-1"));
+  evbuffer_free (out);
+}
+
 UNIT_PLAIN (test_the_key_is_the_rest_of_the_message)
 {
   parse ("STARTUP db key more");
