--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1017,8 +1017,8 @@
   run_seeds (STUTTER_SEEDS, STUTTER_LENGTH, run_stutter);
 }
 
-/* Guards against REFUSED, TWICE and MIXED: the answers to the statements behind
-   a refusal came twice, like the refusal.  */
+/* Guards against REFUSED, TWICE and MIXED: the answers to the statements
+   behind a refusal came twice, like the refusal.  */
 UNIT_PLAIN (test_answers_that_come_twice_in_order_answer_no_other_statement)
 {
   run_seeds (STUTTER_SEEDS, STUTTER_LENGTH, run_stutter_in_order);
