--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -32,7 +32,7 @@
   size_t capacity = check->capacity > 0 ? 2 * check->capacity : FIRST_CAPACITY;
   struct answer_signature *old = check->signatures;
   struct answer_signature *ring = mem_zalloc (capacity * sizeof *ring);
-  for (size_t i = 0; i < check->capacity; i++)
+  for (size_t i = 0; old != NULL && i < check->capacity; i++)
     ring[i] = old[(check->next + i) % check->capacity];
   free (old);
   check->signatures = ring;
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -151,6 +151,28 @@
 /* backend_conn.c */
 void conn_open (struct backend *backend, struct pool_workspace *workspace);
 void conn_close (struct backend_conn *conn);
+/* Closes CONN, on which answers have come that belong to no statement, and
+   tells its user.  */
+void conn_close_distrusted (struct backend_conn *conn);
 void conn_set_phase (struct backend_conn *conn, enum conn_phase phase);
+/* Makes CONN idle if it is clean.  Otherwise rolls back its transaction, once
+   nothing is in flight.  */
+void conn_clean (struct backend_conn *conn);
+/* Counts a message of STEP with BYTES of text.  */
+void conn_count_bytes (const struct backend_conn *conn, enum conn_step step,
+                       size_t bytes);
+
+/* backend_answers.c: events of the link.  */
+/* Tells an answer that was not awaited when it began, also if a statement is
+   sent before it ends.  */
+void conn_on_began (void *conn);
+void conn_on_answer (void *conn, const struct answer *answer);
+/* Returns whether the instance has sent an answer twice lately.  */
+bool backend_stutters (const struct backend *backend);
+
+/* backend_set_up.c */
+void conn_forget_statements (struct backend_conn *conn);
+/* Sends COUNT statements that succeed and change nothing.  */
+void conn_send_fences (struct backend_conn *conn, uint32_t count);
 
 #endif
