Rows that come one by one are no answer that was cut short

Callers could get INDOUBT or ABORTED from a sound instance that sends each message by itself: its connection was closed when the first row of an answer was that of an earlier one, as of an item that is read often, or came twice. Cause: any end of what had arrived counted as the pause behind a cut.

--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -13,6 +13,7 @@
 #include "unit.h"
 
 static struct wire_reply reply;
+static clk_ms now_ms = 1000;
 
 /* Receives TEXT, the bytes that arrive together, and returns the status of the
    answer.  IN holds what was left of earlier bytes.  */
@@ -23,7 +24,8 @@
   size_t length, searched = 0;
   char *line;
   evbuffer_add (in, text, strlen (text));
-  if (!wire_reply_continues (&reply, in))
+  now_ms += WIRE_REPLY_PAUSE_MS;
+  if (!wire_reply_continues (&reply, now_ms, in))
     return REPLY_MALFORMED;
   while (status == REPLY_INCOMPLETE
          && (line = wire_take_message (in, EVBUFFER_EOL_CRLF_STRICT, &searched,
@@ -33,7 +35,7 @@
       status = wire_reply_add (&reply, line, length);
       free (line);
     }
-  wire_reply_pause (&reply, in);
+  wire_reply_pause (&reply, in, now_ms);
   return status;
 }
 
@@ -187,6 +189,7 @@
 /* A connection to a listener that the test plays the instance on.  */
 
 static struct event_base *base;
+static struct clk_virtual clk;
 static struct instance_port *port;
 static struct instance_link *instance_link;
 static int listener, peer = -1;
@@ -273,7 +276,8 @@
       bind (listener, (struct sockaddr *)&address, sizeof address), 0);
   ck_assert_int_eq (listen (listener, 1), 0);
   base = event_base_new ();
-  port = wire_instance_new (base, "host-1");
+  clk_virtual_init (&clk, 1000);
+  port = wire_instance_new (base, &clk.base, "host-1");
   open_link ();
   play ("READY I 3.4\r\n");
   ck_assert_int_eq (opened, 1);
@@ -333,4 +337,49 @@
   ck_assert_str_eq (last, "7.1");
 }
 
+/* Guards against failed transactions: an instance that sends each message by
+   itself was taken for one that cut its answer short, as the first row was
+   that of an earlier answer.  */
+UNIT_TEST (test_an_answer_like_an_earlier_one_may_come_message_by_message)
+{
+  static const char *const parts[]
+      = { "ROW a\r\n", "ROW b\r\n", "COMPLETE 7.2\r\n", "READY I 3.4\r\n" };
+  play ("ROW a\r\nROW b\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n");
+  for (size_t i = 0; i < sizeof parts / sizeof parts[0] && closed == 0; i++)
+    play (parts[i]);
+  ck_assert_int_eq (closed, 0);
+  ck_assert_int_eq (answers, 2);
+}
+
+/* Guards against the same for rows that are equal.  */
+UNIT_TEST (test_equal_rows_may_come_message_by_message)
+{
+  play ("ROW a\r\n");
+  play ("ROW a\r\n");
+  ck_assert_int_eq (closed, 0);
+}
+
+/* Guards against MIXED: the word of the message that follows a cut came in two
+   pieces, and a row of two answers was passed on.  */
+UNIT_TEST (test_an_answer_cut_short_and_followed_by_pieces_of_another_closes)
+{
+  play ("ROW ab");
+  play ("RO");
+  if (closed == 0)
+    play ("W abc\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 0);
+  ck_assert_int_eq (closed, 1);
+}
+
+/* Guards against MIXED: a row came twice, as the answer had been cut behind
+   it.  */
+UNIT_TEST (test_a_row_that_comes_again_after_a_pause_closes)
+{
+  play ("ROW a\r\n");
+  clk.now_ms += WIRE_REPLY_PAUSE_MS;
+  play ("ROW a\r\nCOMPLETE 7.1\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 0);
+  ck_assert_int_eq (closed, 1);
+}
+
 UNIT_MAIN ("wire_reply", .setup = setup, .teardown = teardown)
