Take the term of a primary from its STATUS, not from its log

What callers saw: after a failover that lost the commits of a term, writes and reads of the primary got BUSY at hosts that had seen those commits, until another host committed on the new primary. Where all hosts had seen them, the group stayed without a primary; nothing healed it.

Cause: a promoted instance reports positions of an earlier term until its first commit. group_confirm_leader took a position of an older term than that of the newest sample for a delayed answer and ignored the accepted BEGIN. Hosts without any primary at the time that they read the entry took i-0, but samples of it were dropped for the same reason.

The same cause elsewhere: reads of a stated age and of sessions got BUSY, "no recent position", until the first commit; a session required the position of its own commit that was rolled back; a primary without a commit that leaves was not handed over, as its replicas seemed to lag; and the record for the next holder of the duty had the term of the log, so that an instance of the lost term would have been promoted at once.

Change: a sample carries the term in which the primary leads, from the STATUS that precedes each first sample. A BEGIN that is accepted with a position of an earlier term leads to a STATUS, also of an instance that is not taken for the primary; if it leads in a term that is not older, it becomes the primary. A delayed answer still changes nothing. Samples, the floor of reads, the choice and the recorded term of a promotion use the term of the lead.

--- a/src/cli/proxy_report.c
+++ b/src/cli/proxy_report.c
@@ -119,7 +119,7 @@
   struct backend *backends[GROUP_INSTANCES];
   size_t count = group_instances (group, backends);
   const struct backend *leader = group_leader (group);
-  struct position newest = samples_newest (group_samples (group));
+  const struct samples *samples = group_samples (group);
   json_t *gateways = report_gateways (report->kernel, group_name (group));
   json_t *instances = json_array ();
   for (size_t i = 0; i < count; i++)
@@ -133,11 +133,10 @@
       report->list,
       json_pack ("{s:s, s:s, s:I, s:s, s:o, s:o}", "name", group_name (group),
                  "primary", leader != NULL ? backend_entry (leader)->id : "",
-                 "term", (json_int_t)newest.term, "state",
+                 "term", (json_int_t)samples_term (samples), "state",
                  group_connected (group) ? "connected" : "forwarded",
                  "sample_age_ms",
-                 age_or_null (report->kernel,
-                              samples_newest_ms (group_samples (group))),
+                 age_or_null (report->kernel, samples_newest_ms (samples)),
                  "instances", instances));
 }
 
--- a/src/proxy/caller_run.c
+++ b/src/proxy/caller_run.c
@@ -149,14 +149,14 @@
 
 /* Prepares another round of attempts after no instance could serve the read.
    A promotion may have rolled back the required position; then the newest
-   sample, which is of a newer term, replaces it.  */
+   sample, of a primary of a newer term, replaces it.  */
 static void
 raise_min_position (struct caller *caller, struct group *group)
 {
   struct run_request *run = &caller->run;
-  struct position newest = samples_newest (group_samples (group));
-  if (newest.term > run->min_position.term)
-    run->min_position = newest;
+  const struct samples *samples = group_samples (group);
+  if (samples_term (samples) > run->min_position.term)
+    run->min_position = samples_newest (samples);
   run->tried_count = 0;
 }
 
--- a/src/proxy/group_confirm.c
+++ b/src/proxy/group_confirm.c
@@ -8,6 +8,9 @@
    the position that it had received; from then on each position that it
    reports is a sample.
 
+   Its log ends in an earlier term until its first commit, so that a position
+   does not tell in which term it leads.  STATUS does.
+
    That holds as long as the instance leads without interruption.  Neither the
    answer to BEGIN nor a position tells whether it was replaced and promoted
    again meanwhile, as this host may have stood still, been cut off or sent
@@ -52,15 +55,16 @@
              LOG_U ("from", group->caught_up_at.lsn));
 }
 
-/* Records that BACKEND led at LED_MS or later and that its log contains all
-   acknowledged commits FROM that position on.  */
+/* Records that BACKEND led in TERM at LED_MS or later and that its log
+   contains all acknowledged commits FROM that position on.  */
 static void
-set_caught_up (struct group *group, struct backend *backend,
+set_caught_up (struct group *group, struct backend *backend, uint64_t term,
                struct position from, clk_ms led_ms)
 {
   bool is_new = group->caught_up != backend;
   group->caught_up = backend;
   group->caught_up_at = from;
+  group->caught_up_term = term;
   group->led_ms = led_ms;
   if (is_new)
     log_caught_up (group);
@@ -74,10 +78,25 @@
   if (!permits_covered (group->groups->permits, group->settings.name,
                         backend_entry (backend)->id, sent_ms))
     return;
-  samples_add (&group->samples, position, sent_ms);
+  samples_add (&group->samples, group->caught_up_term, position, sent_ms);
   group_notify (group);
 }
 
+/* Records that BACKEND accepted a statement as the primary.  Returns false if
+   it is known to have been replaced.  */
+static bool
+accept_leader (struct group *group, struct backend *backend)
+{
+  if (!group_may_lead (group, backend))
+    {
+      group_reject_leader (group, backend);
+      return false;
+    }
+  group_set_leader (group, backend, "proven");
+  group->proven = true;
+  return true;
+}
+
 bool
 group_confirm_log (struct group *group, struct backend *backend,
                    const struct instance_status *status,
@@ -85,9 +104,13 @@
 {
   if (MUTANT (trust_new_primary))
     return true;
-  if (!status->is_primary || group->leader != backend)
+  uint64_t newest = samples_term (&group->samples);
+  bool replaced = group->leader != backend && group->proven;
+  if (!status->is_primary || status->term < newest
+      || (replaced && status->term == newest)
+      || !accept_leader (group, backend))
     return false;
-  set_caught_up (group, backend, status->received, sent_ms);
+  set_caught_up (group, backend, status->term, status->received, sent_ms);
   if (position_compare (position, status->received) < 0)
     return false;
   add_sample (group, backend, position, begun_ms);
@@ -112,7 +135,7 @@
                  clk_ms accepted_ms)
 {
   struct groups *groups = group->groups;
-  if (group->query != NULL || group->leader != backend)
+  if (group->query != NULL || !group_may_lead (group, backend))
     return;
   group->queried = backend;
   group->queried_ms = group_now (group);
@@ -165,24 +188,19 @@
 group_confirm_leader (struct group *group, struct backend *backend,
                       struct position position, clk_ms sent_ms)
 {
+  bool continues = continue_lead (group, backend, sent_ms);
   /* A delayed answer from an earlier term must not replace the primary of a
      newer one.  */
-  if (position.term < samples_newest (&group->samples).term)
+  if (!continues && position.term < samples_term (&group->samples))
+    return false;
+  if (!accept_leader (group, backend))
     return false;
-  if (!group_may_lead (group, backend))
-    {
-      group_reject_leader (group, backend);
-      return false;
-    }
-  group_set_leader (group, backend, "proven");
-  group->proven = true;
   if (MUTANT (trust_new_primary))
     {
       add_sample (group, backend, position, sent_ms);
       return true;
     }
-  if (!continue_lead (group, backend, sent_ms)
-      || position_compare (position, group->caught_up_at) < 0)
+  if (!continues || position_compare (position, group->caught_up_at) < 0)
     return false;
   add_sample (group, backend, position, sent_ms);
   return true;
--- a/src/proxy/group_impl.h
+++ b/src/proxy/group_impl.h
@@ -34,6 +34,7 @@
      LED_MS.  */
   struct backend *caught_up;
   struct position caught_up_at;
+  uint64_t caught_up_term; /* in which it leads */
   clk_ms led_ms;
   struct backend *queried;  /* the instance that QUERY was sent to */
   clk_ms queried_ms;        /* time of the query */
--- a/src/proxy/promoter_change.c
+++ b/src/proxy/promoter_change.c
@@ -82,7 +82,7 @@
            const struct status_row *chosen, const struct status_row *rows,
            size_t count)
 {
-  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t newest = samples_term (group_samples (group));
   uint64_t reported = newest_reported (rows, count);
   if (reported > newest)
     newest = reported;
@@ -124,7 +124,7 @@
 static uint64_t
 next_term (const struct change *change, const struct group *group)
 {
-  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t newest = samples_term (group_samples (group));
   return (newest > change->newest_term ? newest : change->newest_term) + 1;
 }
 
@@ -169,7 +169,7 @@
 has_old_term (const struct change *change, const struct group *group,
               const struct instance_status *status)
 {
-  uint64_t newest = samples_newest (group_samples (group)).term;
+  uint64_t newest = samples_term (group_samples (group));
   uint64_t term = status->term > status->received.term ? status->term
                                                        : status->received.term;
   return !change->hand_over && (term < newest || term < change->led_term)
--- a/src/proxy/promoter_order.c
+++ b/src/proxy/promoter_order.c
@@ -180,6 +180,16 @@
   order_with_fence (change, id, id);
 }
 
+/* Returns the newest term in which LEADER, which is proven, is known to lead:
+   its log ends in an earlier one until its first commit.  */
+static uint64_t
+lead_term (const struct change *change, const struct backend *leader)
+{
+  uint64_t logged = backend_position (leader).term;
+  uint64_t known = samples_term (group_samples (change_group (change)));
+  return known > logged ? known : logged;
+}
+
 void
 change_fence_late (struct change *change, struct backend *leader)
 {
@@ -187,7 +197,7 @@
   change->hand_over = false;
   change->started_ms = change_now (change);
   change->old[0] = '\0';
-  change->floor = backend_position (leader).term;
+  change->floor = lead_term (change, leader);
   order_with_fence (change, backend_entry (leader)->id, "");
 }
 
@@ -327,7 +337,7 @@
   struct roster_record record;
   struct roster *roster = change->promoter->roster;
   const char *id = backend_entry (leader)->id;
-  uint64_t term = backend_position (leader).term;
+  uint64_t term = lead_term (change, leader);
   bool found = roster_find_record (roster, change->group, &record);
   bool same = found && strcmp (record.candidate, id) == 0;
   if (change_now (change) < change->settle_ms
--- a/src/proxy/samples.c
+++ b/src/proxy/samples.c
@@ -10,14 +10,16 @@
 }
 
 void
-samples_add (struct samples *samples, struct position position, clk_ms sent_ms)
+samples_add (struct samples *samples, uint64_t term, struct position position,
+             clk_ms sent_ms)
 {
+  struct sample sample = { position, term, sent_ms };
   if (samples->count > 0)
     {
       struct sample *last = &samples->items[samples->last];
       /* A delayed answer from an older term is not a position of the newer
          one.  */
-      if (position.term < last->position.term || sent_ms < last->sent_ms)
+      if (term < last->term || sent_ms < last->sent_ms)
         return;
       /* Overwrites the newest sample until SAMPLES_STEP_MS have passed since
          the one before it, so that the samples stay spread over time.  */
@@ -25,15 +27,16 @@
       if (samples->count > 1
           && sent_ms - samples->items[before].sent_ms < SAMPLES_STEP_MS)
         {
-          if (position_compare (position, last->position) >= 0)
-            *last = (struct sample){ position, sent_ms };
+          if (term > last->term
+              || position_compare (position, last->position) >= 0)
+            *last = sample;
           return;
         }
       samples->last = (samples->last + 1) % SAMPLES_KEPT;
     }
   if (samples->count < SAMPLES_KEPT)
     samples->count++;
-  samples->items[samples->last] = (struct sample){ position, sent_ms };
+  samples->items[samples->last] = sample;
 }
 
 bool
@@ -50,8 +53,7 @@
       const struct sample *sample
           = &samples->items[(samples->last + SAMPLES_KEPT - i) % SAMPLES_KEPT];
       /* Positions of an older term may have been rolled back.  */
-      if (sample->sent_ms < not_before_ms
-          || sample->position.term != found->position.term)
+      if (sample->sent_ms < not_before_ms || sample->term != found->term)
         break;
       found = sample;
     }
@@ -71,3 +73,9 @@
   return samples->count > 0 ? newest (samples)->position
                             : (struct position){ 0 };
 }
+
+uint64_t
+samples_term (const struct samples *samples)
+{
+  return samples->count > 0 ? newest (samples)->term : 0;
+}
--- a/src/proxy/samples.h
+++ b/src/proxy/samples.h
@@ -3,9 +3,11 @@
 
    A sample is a position that a confirmed primary reported, with the time at
    which the request was sent: the position includes every commit acknowledged
-   before that time.  A read that arrived at time A and may return data S ms
-   old can use any sample requested at A - S or later; the oldest of them
-   leaves replicas the most time to catch up.  */
+   before that time.  The log of a new primary ends in an earlier term until
+   its first commit, so the term in which it leads is kept as well.  A read
+   that arrived at time A and may return data S ms old can use any sample
+   requested at A - S or later; the oldest of them leaves replicas the most
+   time to catch up.  */
 
 #ifndef SAVORYWAY_PROXY_SAMPLES_H
 #define SAVORYWAY_PROXY_SAMPLES_H
@@ -24,6 +26,7 @@
 struct sample
 {
   struct position position;
+  uint64_t term;  /* in which the primary led */
   clk_ms sent_ms; /* time at which the request was sent */
 };
 
@@ -34,10 +37,10 @@
   struct sample items[SAMPLES_KEPT]; /* ring buffer */
 };
 
-/* Adds POSITION, which a confirmed primary reported in answer to a request
+/* Adds POSITION, which the primary of TERM reported in answer to a request
    sent at SENT_MS.  */
-void samples_add (struct samples *samples, struct position position,
-                  clk_ms sent_ms);
+void samples_add (struct samples *samples, uint64_t term,
+                  struct position position, clk_ms sent_ms);
 
 /* Sets POSITION to that of the oldest sample requested at NOT_BEFORE_MS or
    later; returns false if there is none.  */
@@ -51,4 +54,8 @@
 /* Returns the position of the newest sample; zero if there is none.  */
 struct position samples_newest (const struct samples *samples);
 
+/* Returns the newest term in which a primary is known to have led; 0 if there
+   is no sample.  */
+uint64_t samples_term (const struct samples *samples);
+
 #endif
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -938,6 +938,17 @@
                 true);
 }
 
+/* A new primary whose log lacked the term before was refused by hosts that
+   knew commits of that term.  */
+static const uint64_t limited_regressions[] = { 432, 554, 786 };
+
+UNIT_PLAIN_LOOP (test_limited_regressions_pass, 0,
+                 (int)(sizeof limited_regressions
+                       / sizeof limited_regressions[0]))
+{
+  run_limited (limited_regressions[_i]);
+}
+
 UNIT_PLAIN (test_guarantees_hold_under_any_schedule_of_faults)
 {
   run_seeds (SEEDS, 1, run_default);
--- a/tests/unit/test_proxy.c
+++ b/tests/unit/test_proxy.c
@@ -1357,15 +1357,15 @@
   struct samples samples = { 0 };
   struct position floor;
   for (uint64_t i = 1; i <= 30; i++)
-    samples_add (&samples, (struct position){ 1, i },
+    samples_add (&samples, 1, (struct position){ 1, i },
                  (clk_ms)(1000 + 100 * i));
   ck_assert (samples_floor (&samples, 2500, &floor));
   ck_assert_uint_eq (floor.lsn, 15);
   ck_assert (!samples_floor (&samples, 4001, &floor));
-  samples_add (&samples, (struct position){ 2, 20 }, 4100);
+  samples_add (&samples, 2, (struct position){ 2, 20 }, 4100);
   ck_assert (samples_floor (&samples, 2500, &floor));
   ck_assert_uint_eq (floor.term, 2);
-  samples_add (&samples, (struct position){ 1, 99 }, 4200);
+  samples_add (&samples, 1, (struct position){ 1, 99 }, 4200);
   ck_assert_uint_eq (samples_newest (&samples).term, 2);
 }
 
