Schedules of a seed are the same with every compiler

Cause: some expressions drew two random numbers, such as both arguments of a call or both sides of an assignment. C leaves their order open; gcc 12 and clang choose different ones.

Change: each draw is a statement of its own, in the order of gcc, so that known seeds keep their schedules.

--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -31,7 +31,8 @@
 /* Time to recover after the last fault.  */
 #define RECOVERY_MS 8000
 
-/* A schedule: callers that send statements, and faults.  */
+/* A schedule: callers that send statements, and faults.  No expression draws
+   twice: compilers evaluate arguments in different orders.  */
 struct schedule
 {
   struct fleet *fleet;
@@ -56,8 +57,9 @@
 static void
 draw_key (struct schedule *s, char key[NAME_BYTES])
 {
-  snprintf (key, NAME_BYTES, "key-%d-%d", (int)below (s, WORKSPACES),
-            (int)below (s, FLEET_KEYS));
+  int number = (int)below (s, FLEET_KEYS);
+  int workspace = (int)below (s, WORKSPACES);
+  snprintf (key, NAME_BYTES, "key-%d-%d", workspace, number);
 }
 
 /* Opens a session, in some cases without a key or with one that no workspace
@@ -130,9 +132,12 @@
   else if (draw < 65)
     fleet_caller_send (caller, STMT_SET, "v", below (s, 2) ? "1" : "2");
   else if (draw < 70)
-    fleet_caller_send (caller,
-                       below (s, 2) ? STMT_PREPARE_READ : STMT_PREPARE_WRITE,
-                       "p", below (s, 2) ? "qa" : "qa READ k");
+    {
+      const char *shape = below (s, 2) ? "qa" : "qa READ k";
+      bool reads = below (s, 2);
+      fleet_caller_send (
+          caller, reads ? STMT_PREPARE_READ : STMT_PREPARE_WRITE, "p", shape);
+    }
   else if (draw < 78)
     fleet_caller_send (caller, STMT_EXECUTE, "p", "x");
   else
@@ -241,11 +246,12 @@
 {
   struct fleet_host *host
       = fleet_host (s->fleet, below (s, s->fleet->host_count));
+  clk_ms slow_ms;
   switch (below (s, 6))
     {
     case 5:
-      fleet_instance (s->fleet, below (s, FLEET_INSTANCES))->slow_ms
-          = (clk_ms)below (s, 3) * 400;
+      slow_ms = (clk_ms)below (s, 3) * 400;
+      fleet_instance (s->fleet, below (s, FLEET_INSTANCES))->slow_ms = slow_ms;
       break;
     case 0:
     case 1:
@@ -604,8 +610,10 @@
       for (size_t i = 0; i < FLEET_INSTANCES; i++)
         fleet_instance (s.fleet, i)->lag_ms = lag_ms;
       for (uint64_t left = 1 + below (&s, 2); left > 0; left--)
-        fleet_host_freeze (fleet_host (s.fleet, below (&s, HOSTS)),
-                           500 + (clk_ms)below (&s, 3500));
+        {
+          clk_ms span_ms = 500 + (clk_ms)below (&s, 3500);
+          fleet_host_freeze (fleet_host (s.fleet, below (&s, HOSTS)), span_ms);
+        }
       for (uint64_t left = 1 + below (&s, 3); left > 0; left--)
         replace_primary (&s);
       run_callers (&s, 3000, STEP_MS);
