--- a/src/proxy/answer_check.c
+++ b/src/proxy/answer_check.c
@@ -247,8 +247,8 @@
 }
 
 bool
-answer_check_is_harmless (struct answer_check *check, enum tx_state state,
-                          const struct answer *answer)
+answer_check_can_ignore (struct answer_check *check, enum tx_state state,
+                         const struct answer *answer)
 {
   check->distrusted = true;
   if (answer->code != CODE_OK)
--- a/src/proxy/answer_check.h
+++ b/src/proxy/answer_check.h
@@ -98,9 +98,9 @@
 bool answer_check_is_older (const struct answer_check *check,
                             const struct answer *answer);
 
-/* Returns whether ANSWER, which came while no statement was in flight, leaves
-   the connection with a transaction in STATE as it was.  */
-bool answer_check_is_harmless (struct answer_check *check, enum tx_state state,
-                               const struct answer *answer);
+/* Returns whether ANSWER, which came while no statement was in flight and the
+   transaction was in STATE, can only be one that came before.  */
+bool answer_check_can_ignore (struct answer_check *check, enum tx_state state,
+                              const struct answer *answer);
 
 #endif
--- a/src/proxy/backend_answers.c
+++ b/src/proxy/backend_answers.c
@@ -108,7 +108,7 @@
   conn->held = *error;
   conn->held.text = conn->held_text;
   conn->holds_error = true;
-  conn->fenced = 0;
+  conn->fences_answered = 0;
   conn->fence_state = error->state;
   metrics_increment (kernel_metrics (conn->backend->options.kernel),
                      "answers_held_total");
@@ -137,7 +137,8 @@
 static bool
 handle_fenced (struct backend_conn *conn, const struct answer *answer)
 {
-  uint32_t place = (conn->pending_head + 1 + conn->fenced) % PENDING_LIMIT;
+  uint32_t place
+      = (conn->pending_head + 1 + conn->fences_answered) % PENDING_LIMIT;
   const struct pending_answer *pending = &conn->pending[place];
   struct answer_awaited awaited = { .kind = pending->kind,
                                     .state = conn->fence_state,
@@ -149,9 +150,9 @@
       &conn->check, &awaited, answer, backend_now (conn->backend));
   if (verdict == ANSWER_OWN && answer->code == CODE_OK && !older)
     {
-      conn->fenced++;
+      conn->fences_answered++;
       conn->fence_state = answer->state;
-      if (conn->fenced + 1 == conn->pending_count)
+      if (conn->fences_answered + 1 == conn->pending_count)
         pass_held_error (conn);
       return true;
     }
@@ -165,9 +166,9 @@
 static void
 handle_unawaited (struct backend_conn *conn, const struct answer *answer)
 {
-  bool harmless = answer_check_is_harmless (&conn->check, conn->state, answer);
+  bool ignored = answer_check_can_ignore (&conn->check, conn->state, answer);
   note_unmatched (conn, NULL, answer);
-  if (conn->user == NULL || !harmless)
+  if (conn->user == NULL || !ignored)
     conn_close_distrusted (conn);
 }
 
--- a/src/proxy/backend_impl.h
+++ b/src/proxy/backend_impl.h
@@ -71,7 +71,7 @@
   bool holds_error; /* to the oldest statement in flight */
   struct answer held;
   char *held_text;
-  uint32_t fenced;           /* statements behind it that are answered */
+  uint32_t fences_answered;  /* statements behind it that are answered */
   enum tx_state fence_state; /* after these */
   clk_ms since_ms;           /* start of the phase */
   clk_ms used_ms;            /* last use for a caller; when opened, if none */
--- a/tests/unit/test_answer_check.c
+++ b/tests/unit/test_answer_check.c
@@ -180,16 +180,16 @@
 {
   struct answer answer = { .signature = "a", .state = TX_OPEN };
   ck_assert_int_eq (match (STMT_READ, TX_OPEN, &answer), ANSWER_OWN);
-  ck_assert (answer_check_is_harmless (&check, TX_OPEN, &answer));
+  ck_assert (answer_check_can_ignore (&check, TX_OPEN, &answer));
   ck_assert (check.distrusted);
   answer.signature = "b";
-  ck_assert (!answer_check_is_harmless (&check, TX_OPEN, &answer));
+  ck_assert (!answer_check_can_ignore (&check, TX_OPEN, &answer));
   answer = (struct answer){ .state = TX_OPEN };
-  ck_assert (answer_check_is_harmless (&check, TX_OPEN, &answer));
+  ck_assert (answer_check_can_ignore (&check, TX_OPEN, &answer));
   answer.state = TX_IDLE;
-  ck_assert (!answer_check_is_harmless (&check, TX_OPEN, &answer));
+  ck_assert (!answer_check_can_ignore (&check, TX_OPEN, &answer));
   answer = (struct answer){ .state = TX_FAILED, .code = CODE_FAILED };
-  ck_assert (!answer_check_is_harmless (&check, TX_OPEN, &answer));
+  ck_assert (!answer_check_can_ignore (&check, TX_OPEN, &answer));
   answer_check_clear (&check);
 }
 
