The pieces of a row don't end the pause before it

Callers got a row twice (MIXED): an instance that cuts an answer short behind a row of some KB and sends it whole later. Cause: each piece of the row that came again was taken for the continuation of the one before it, which it is, and for the end of the pause, which it is not.

--- a/tests/unit/test_wire_reply.c
+++ b/tests/unit/test_wire_reply.c
@@ -382,4 +382,17 @@
   ck_assert_int_eq (closed, 1);
 }
 
+/* Guards against MIXED: the pieces of such a row came without a pause between
+   them, and the one before the first piece was forgotten.  */
+UNIT_TEST (test_a_long_row_that_comes_again_in_quick_pieces_closes)
+{
+  play ("ROW qhzkwmtr\r\n");
+  clk.now_ms += WIRE_REPLY_PAUSE_MS;
+  play ("ROW qh");
+  play ("zkwm");
+  play ("tr\r\nCOMPLETE 7.2\r\nREADY I 3.4\r\n");
+  ck_assert_int_eq (answers, 0);
+  ck_assert_int_eq (closed, 1);
+}
+
 UNIT_MAIN ("wire_reply", .setup = setup, .teardown = teardown)
