--- a/tests/unit/test_answer_check.c
+++ b/tests/unit/test_answer_check.c
@@ -213,7 +213,7 @@
 UNIT_PLAIN (test_a_forgotten_error_is_doubtful_after_an_older_one_came_twice)
 {
   check = (struct answer_check){ 0 };
-  now_ms += 2 * ANSWER_CHECK_KEEP_MS;
+  now_ms += (clk_ms)2 * ANSWER_CHECK_KEEP_MS;
   ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_OWN);
   ck_assert_int_eq (match_busy (STMT_WRITE, 105), ANSWER_OWN);
   ck_assert_int_eq (match_busy (STMT_WRITE, 100), ANSWER_DOUBTFUL);
